--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,59 @@
+// Runs tap, prints failures, passes over exactly the tests listed in KNOWN-RED.txt
+// and ends with the line "N passed, N failed" that CI reads.
+import { spawn } from 'node:child_process'
+import { existsSync, readFileSync } from 'node:fs'
+import { createInterface } from 'node:readline'
+
+const TEST_LINE = /^ {4}(not ok|ok) \d+ - (.*?)(?: # time=.*)?(?: \{)?$/
+const FILE_LINE = /^(not ok|ok) \d+ - (.*?)(?: # time=.*)?(?: \{)?$/
+
+function readKnownRed () {
+  if (!existsSync('KNOWN-RED.txt')) return new Set()
+  const lines = readFileSync('KNOWN-RED.txt', 'utf8').split('\n')
+  return new Set(lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice('test: '.length).trim()))
+}
+
+const knownRed = readKnownRed()
+const tap = spawn('node_modules/.bin/tap', ['run', '--reporter=tap', ...process.argv.slice(2)], { stdio: ['ignore', 'pipe', 'inherit'] })
+let passed = 0
+let failed = 0
+let brokenFiles = 0
+let fileTests = []
+const output = []
+const skippedRed = []
+
+for await (const line of createInterface({ input: tap.stdout })) {
+  output.push(line)
+  const test = TEST_LINE.exec(line)
+  if (test !== null) {
+    fileTests.push({ ok: test[1] === 'ok', name: test[2] })
+    continue
+  }
+  const file = FILE_LINE.exec(line)
+  if (file === null) continue
+  let unexplained = 0
+  let red = 0
+  for (const { ok, name } of fileTests) {
+    if (ok) {
+      passed++
+      continue
+    }
+    if (knownRed.has(name)) {
+      skippedRed.push(name)
+      red++
+      continue
+    }
+    unexplained++
+  }
+  failed += unexplained
+  // A file can fail without a failing test: a crash, a time-out, or no test at all.
+  if (file[1] === 'not ok' && unexplained === 0 && red === 0) brokenFiles++
+  fileTests = []
+}
+await new Promise((resolve) => tap.exitCode === null ? tap.once('close', resolve) : resolve())
+
+failed += brokenFiles
+if (failed > 0 || passed === 0) console.log(output.join('\n'))
+for (const name of skippedRed) console.log(`known red: ${name}`)
+console.log(`${passed} passed, ${failed} failed`)
+process.exitCode = failed > 0 || passed === 0 ? 1 : 0
--- /dev/null
+++ b/src/types/log-event.ts
@@ -0,0 +1,64 @@
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error'
+
+export interface LogEventEntry {
+  readonly event: number
+  readonly name: string
+  readonly level: LogLevel
+  /** What happened, for the table in docs/events.md. */
+  readonly meaning: string
+}
+
+/**
+ * Every numbered log event. docs/events.md is generated from this table (`npm run docs:tables`).
+ * 1xx: process; 2xx: control log; 3xx: instances and freshness; 4xx: databases and failover; 5xx: requests; 6xx: configuration.
+ */
+export const logEvents = {
+  started: { event: 101, name: 'started', level: 'info', meaning: 'The process listens on its addresses.' },
+  stopping: { event: 102, name: 'stopping', level: 'info', meaning: 'A graceful shutdown began.' },
+  stopped: { event: 103, name: 'stopped', level: 'info', meaning: 'The process ended after a graceful shutdown.' },
+  failed: { event: 104, name: 'failed', level: 'error', meaning: 'The process ends because of an error.' },
+
+  leaderElected: { event: 201, name: 'leader-elected', level: 'info', meaning: 'This member became leader of the control log.' },
+  leadershipLost: { event: 202, name: 'leadership-lost', level: 'warn', meaning: 'This member stepped down as leader.' },
+  memberAdded: { event: 203, name: 'member-added', level: 'info', meaning: 'A control member joined as a learner or became a voter.' },
+  memberRemoved: { event: 204, name: 'member-removed', level: 'warn', meaning: 'A control member was removed.' },
+  logTailCut: { event: 205, name: 'log-tail-cut', level: 'warn', meaning: 'An incomplete record at the end of the log was cut off.' },
+  snapshotWritten: { event: 206, name: 'snapshot-written', level: 'info', meaning: 'The log was replaced by a snapshot.' },
+  clusterFormed: { event: 207, name: 'cluster-formed', level: 'info', meaning: 'The first start formed the control cluster.' },
+
+  instanceJoined: { event: 301, name: 'instance-joined', level: 'info', meaning: 'The leader received the first heartbeat of an incarnation.' },
+  instanceLost: { event: 302, name: 'instance-lost', level: 'warn', meaning: 'An instance sent no heartbeat for one lease.' },
+  freshnessLost: { event: 303, name: 'freshness-lost', level: 'warn', meaning: 'The freshness lease of this instance ran out.' },
+  freshnessRegained: { event: 304, name: 'freshness-regained', level: 'info', meaning: 'This instance has a freshness lease again.' },
+  controlChanged: { event: 305, name: 'control-changed', level: 'info', meaning: 'This instance moved to another control member.' },
+  peerConnectionLost: { event: 306, name: 'peer-connection-lost', level: 'warn', meaning: 'The connection to another process of the system ended or went silent.' },
+  holdersChanged: { event: 307, name: 'holders-changed', level: 'info', meaning: 'The holders of a group changed.' },
+
+  databaseAnnounced: { event: 401, name: 'database-announced', level: 'info', meaning: 'A database announced itself for the first time or changed its address.' },
+  databaseDeparting: { event: 402, name: 'database-departing', level: 'info', meaning: 'A database announced that it is leaving.' },
+  databaseSilent: { event: 403, name: 'database-silent', level: 'warn', meaning: 'A database answers neither holders nor announces itself.' },
+  failoverBegan: { event: 404, name: 'failover-began', level: 'warn', meaning: 'The primary of a group is taken to be lost; a new term began.' },
+  failoverEnded: { event: 405, name: 'failover-ended', level: 'info', meaning: 'A new primary serves the group.' },
+  switchoverBegan: { event: 406, name: 'switchover-began', level: 'info', meaning: 'A planned change of primary began.' },
+  switchoverEnded: { event: 407, name: 'switchover-ended', level: 'info', meaning: 'A planned change of primary ended.' },
+  connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
+  databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
+
+  requestFailed: { event: 501, name: 'request-failed', level: 'error', meaning: 'An unexpected error ended a request.' },
+  wrongfulRefusal: { event: 502, name: 'wrongful-refusal', level: 'warn', meaning: 'A request within the rate of its workspace was refused.' },
+
+  manifestAccepted: { event: 601, name: 'manifest-accepted', level: 'info', meaning: 'The control log accepted a manifest.' },
+  manifestRefused: { event: 602, name: 'manifest-refused', level: 'warn', meaning: 'A manifest commit was refused.' },
+  manifestInForce: { event: 603, name: 'manifest-in-force', level: 'info', meaning: 'This instance applies a new manifest version.' },
+  failureDomainOut: { event: 604, name: 'failure-domain-out', level: 'warn', meaning: 'A failure domain was taken out.' },
+  failureDomainIn: { event: 605, name: 'failure-domain-in', level: 'info', meaning: 'A failure domain was brought back.' },
+  settingsReloaded: { event: 606, name: 'settings-reloaded', level: 'info', meaning: 'TLS keys or log level were read again.' }
+} as const satisfies Record<string, LogEventEntry>
+
+export type LogEventName = keyof typeof logEvents
+
+/** Values that go with an event. They hold no key, digest or caller data. */
+export type LogDetails = Record<string, string | number | boolean | null>
+
+/** Writes one numbered event. */
+export type LogEvent = (name: LogEventName, details?: LogDetails) => void
--- /dev/null
+++ b/test/blackboard/blackboard.test.ts
@@ -0,0 +1,21 @@
+import t from 'tap'
+import { createBlackboard, defineEntry } from '../../src/blackboard/blackboard.js'
+
+const counter = defineEntry('counter', 0)
+
+t.test('a second writer of an entry is refused, so that two controllers can not overwrite each other', async (t) => {
+  const blackboard = createBlackboard()
+  blackboard.claim(counter, 'first')
+  t.throws(() => blackboard.claim(counter, 'second'), /written by first/)
+})
+
+t.test('a reader created before the first write sees later writes', async (t) => {
+  const blackboard = createBlackboard()
+  const reader = blackboard.reader(counter)
+  const seen: number[] = []
+  reader.onWrite((value) => seen.push(value))
+  t.equal(reader.read(), 0)
+  blackboard.claim(counter, 'first').write(7)
+  t.equal(reader.read(), 7)
+  t.same(seen, [7])
+})
