--- /dev/null
+++ b/src/decisions/execution/group-executor.ts
@@ -0,0 +1,153 @@
+import type { ReleasedTerm } from '../../types/control-message.js'
+import type { Controller } from '../../types/controller.js'
+import type { ExecutorEffect, ExecutorMessage, RequesterName } from '../../types/executor-message.js'
+import type { Execute } from '../../types/peer-message.js'
+import { refuse } from '../../types/result-code.js'
+import type { ShareDemand } from '../../types/share.js'
+import { createConnectionPool } from '../connections/connection-pool.js'
+import { createDurabilityWait } from './durability-wait.js'
+import { resolveExecutorOptions, type GroupExecutorOptions, type ResolvedExecutorOptions } from './executor-options.js'
+import type { ExecutorParts } from './executor-parts.js'
+import { createConnectionTargets } from './connection-targets.js'
+import { createGroupView } from './group-view.js'
+import { createKeyCheck } from './key-check.js'
+import { createOperationCompletion } from './operation-completion.js'
+import { createOperationRunner } from './operation-runner.js'
+import { createPlacer } from './placement.js'
+import { createQueueDispatch } from './queue-dispatch.js'
+import { createRequestTable } from './request-table.js'
+import { releasedTermsOf } from './released-terms.js'
+import { createDemandEstimate } from './share-demand.js'
+import { createSlotAccounting } from './slot-accounting.js'
+import { createTransactionOperations } from './transaction-operations.js'
+import { createTransactionTable } from './transaction-table.js'
+
+/**
+ * Runs the requests of one database group at a holder.
+ * `tick` is also called after each change of a blackboard entry that the executor reads.
+ */
+export interface GroupExecutor extends Controller<ExecutorMessage, ExecutorEffect> {
+  /** @returns slots and connections per database that the executor could use */
+  demand: () => ShareDemand[]
+  /**
+   * @returns the highest term under which no write can be acknowledged any more.
+   * The current term is listed during a switchover once no write is open; if the directory then returns to `serving`
+   * under the same term, it is not listed any longer.
+   */
+  releasedTerms: () => ReleasedTerm[]
+  /** @returns the number of requests and transactions that have not ended */
+  activeCount: () => number
+}
+
+function createParts (options: ResolvedExecutorOptions, emit: (effect: ExecutorEffect) => void): ExecutorParts {
+  const { clock, group, instance } = options
+  const view = createGroupView(options)
+  const keys = createKeyCheck(view, group)
+  const requests = createRequestTable(clock, emit)
+  const slots = createSlotAccounting(view)
+  return {
+    options,
+    view,
+    keys,
+    requests,
+    slots,
+    queue: options.createQueue({ clock, weightOf: keys.weightOf }),
+    runner: createOperationRunner({ clock, slots, longestOperationMs: options.longestOperationMs, emit }),
+    pool: createConnectionPool({ group, clock, emit }),
+    transactions: createTransactionTable({ instance, clock, randomName: options.randomName }),
+    durability: createDurabilityWait({ clock, view, end: requests.end })
+  }
+}
+
+export function createGroupExecutor (groupOptions: GroupExecutorOptions): GroupExecutor {
+  const options = resolveExecutorOptions(groupOptions)
+  let effects: ExecutorEffect[] = []
+  const parts = createParts(options, (effect) => { effects.push(effect) })
+  const { view, requests, pool, transactions, durability } = parts
+  const placer = createPlacer(parts)
+  const queueDispatch = createQueueDispatch(parts, placer)
+  const transactionOperations = createTransactionOperations(parts)
+  const completion = createOperationCompletion(parts, transactionOperations)
+  const targets = createConnectionTargets(parts, placer)
+  const estimate = createDemandEstimate(parts)
+
+  function takeEffects (): ExecutorEffect[] {
+    const taken = effects
+    effects = []
+    return taken
+  }
+
+  // A transaction that begins now would outlast the drain, and another holder can take the request as well.
+  function isHandedOver (): boolean {
+    return view.isDraining() && view.hasOtherHolder()
+  }
+
+  function execute (from: RequesterName, request: Execute): void {
+    const record = requests.add(from, request)
+    if (record === null) return
+    const { operation } = request
+    if (operation.kind !== 'statement' && operation.kind !== 'begin') {
+      transactionOperations.accept(record, operation)
+      return
+    }
+    const refusal = queueDispatch.refusalOf(request)
+    if (refusal !== null) requests.end(record, refusal)
+    else if (isHandedOver()) requests.end(record, refuse('shuttingDown', 'not-run', 'the instance is shutting down', 0))
+    else queueDispatch.enqueue(record)
+  }
+
+  function loseRequester (from: RequesterName): void {
+    for (const record of requests.of(from)) completion.abandon(record, 'the connection to the requester was lost')
+    const orphaned = transactions.all().filter((transaction) => transaction.requester === from)
+    for (const transaction of orphaned) transactionOperations.abort(transaction, 'the connection to the requester was lost')
+  }
+
+  function cancel (message: Extract<ExecutorMessage, { kind: 'cancel' }>): void {
+    const record = requests.find(message.from, message.requestId)
+    if (record !== null) completion.abandon(record, 'the request was cancelled')
+  }
+
+  function accept (message: ExecutorMessage): void {
+    switch (message.kind) {
+      case 'execute': execute(message.from, message.request); break
+      case 'cancel': cancel(message); break
+      case 'requester-lost': loseRequester(message.from); break
+      case 'connection-opened': pool.opened(message.connection, message.incarnation); break
+      case 'connection-failed': pool.openFailed(message.connection); break
+      case 'connection-closed': completion.connectionLost(message.connection); break
+      case 'operation-result': completion.complete(message.connection, message.result); break
+    }
+  }
+
+  /** Brings everything in line with the blackboard and the clock. What must end comes before what may start. */
+  function settle (): void {
+    durability.check()
+    transactionOperations.sweep()
+    completion.abandonOverdue()
+    pool.closeForbidden(targets.current())
+    transactionOperations.runWaiting()
+    queueDispatch.dispatch()
+    pool.openWanted(targets.current())
+  }
+
+  function handle (message: ExecutorMessage): ExecutorEffect[] {
+    accept(message)
+    settle()
+    return takeEffects()
+  }
+
+  function tick (): ExecutorEffect[] {
+    queueDispatch.expire()
+    settle()
+    estimate.sample()
+    return takeEffects()
+  }
+
+  return {
+    handle,
+    tick,
+    demand: estimate.demand,
+    releasedTerms: () => releasedTermsOf(parts),
+    activeCount: () => requests.size() + transactions.size()
+  }
+}
--- /dev/null
+++ b/src/decisions/execution/group-view.ts
@@ -0,0 +1,122 @@
+import type { Blackboard } from '../../blackboard/blackboard.js'
+import { directoryEntry, drainingEntry, freshnessEntry, manifestEntry, observedDatabasesEntry, sharesEntry, type ObservedDatabase } from '../../blackboard/entry-instance-entries.js'
+import type { Clock } from '../../types/clock.js'
+import type { Directory, DirectoryDatabase, DirectoryGroup } from '../../types/directory.js'
+import { resourceId, type DatabaseId, type GroupId, type InstanceId, type ResourceKind } from '../../types/ids.js'
+import type { Manifest } from '../../types/manifest.js'
+
+/** What the blackboard says about one group at this moment. */
+export interface GroupView {
+  manifest: () => Manifest | null
+  /** @returns whether the instance can prove that its configuration is current */
+  isFresh: () => boolean
+  group: () => DirectoryGroup | null
+  databases: () => readonly DirectoryDatabase[]
+  database: (id: DatabaseId) => DirectoryDatabase | null
+  observed: (id: DatabaseId) => ObservedDatabase | null
+  /** @returns whether the status of a database is recent and of the term in force */
+  isCurrent: (id: DatabaseId) => boolean
+  isHolder: () => boolean
+  isDraining: () => boolean
+  /** @returns whether another holder that is not draining is published */
+  hasOtherHolder: () => boolean
+  /** @returns slots of a database that this instance may use now */
+  slots: (id: DatabaseId) => number
+  /** @returns connections to a database that this instance may hold now */
+  connections: (id: DatabaseId) => number
+  /** @returns whether the lease of the connections to a database is valid, whatever its amount */
+  hasConnectionShare: (id: DatabaseId) => boolean
+  /** @returns the primary, if it takes new writes now under the term in force */
+  writePrimary: () => DirectoryDatabase | null
+}
+
+export interface GroupViewOptions {
+  group: GroupId
+  instance: InstanceId
+  blackboard: Blackboard
+  clock: Clock
+  oldestStatusMs: number
+}
+
+interface DirectoryPart {
+  directory: Directory | null
+  group: DirectoryGroup | null
+  databases: DirectoryDatabase[]
+}
+
+function partOf (directory: Directory | null, group: GroupId): DirectoryPart {
+  return {
+    directory,
+    group: directory?.groups.find((entry) => entry.group === group) ?? null,
+    databases: directory?.databases.filter((entry) => entry.group === group) ?? []
+  }
+}
+
+/** @returns a view that reads the blackboard at each call */
+export function createGroupView (options: GroupViewOptions): GroupView {
+  const { clock, instance } = options
+  const manifestReader = options.blackboard.reader(manifestEntry)
+  const directoryReader = options.blackboard.reader(directoryEntry)
+  const freshnessReader = options.blackboard.reader(freshnessEntry)
+  const sharesReader = options.blackboard.reader(sharesEntry)
+  const observedReader = options.blackboard.reader(observedDatabasesEntry)
+  const drainingReader = options.blackboard.reader(drainingEntry)
+  let cached = partOf(null, options.group)
+
+  // A directory is replaced as a whole, so its identity tells whether the cached part is current.
+  function part (): DirectoryPart {
+    const directory = directoryReader.read()
+    if (cached.directory !== directory) cached = partOf(directory, options.group)
+    return cached
+  }
+
+  function leased (kind: ResourceKind, id: DatabaseId): number | null {
+    const share = sharesReader.read().get(resourceId(kind, id))
+    if (share === undefined || clock.now() >= share.validUntil) return null
+    return Math.floor(share.amount)
+  }
+
+  const group = (): DirectoryGroup | null => part().group
+  const database = (id: DatabaseId): DirectoryDatabase | null => part().databases.find((entry) => entry.database === id) ?? null
+  const observed = (id: DatabaseId): ObservedDatabase | null => observedReader.read().get(id) ?? null
+  const isHolder = (): boolean => group()?.holders.includes(instance) ?? false
+
+  function isCurrent (id: DatabaseId): boolean {
+    const seen = observed(id)
+    if (seen === null || seen.status.term !== group()?.term) return false
+    return clock.now() - seen.observedAt <= options.oldestStatusMs
+  }
+
+  function hasOtherHolder (): boolean {
+    const holders = group()?.holders ?? []
+    const instances = part().directory?.instances ?? []
+    return instances.some((entry) => entry.instance !== instance && !entry.draining && holders.includes(entry.instance))
+  }
+
+  function writePrimary (): DirectoryDatabase | null {
+    const known = group()
+    if (known === null || known.primary === null || known.phase !== 'serving') return null
+    const primary = database(known.primary)
+    if (primary === null || primary.weight <= 0 || !isCurrent(primary.database)) return null
+    const status = observed(primary.database)?.status
+    if (status?.role !== 'primary' || status.fencedTerm > known.term) return null
+    return primary
+  }
+
+  return {
+    manifest: () => manifestReader.read()?.manifest ?? null,
+    isFresh: () => clock.now() < freshnessReader.read().validUntil && manifestReader.read() !== null && directoryReader.read() !== null,
+    group,
+    databases: () => part().databases,
+    database,
+    observed,
+    isCurrent,
+    isHolder,
+    isDraining: () => drainingReader.read(),
+    hasOtherHolder,
+    slots: (id) => leased('slots', id) ?? 0,
+    connections: (id) => leased('connections', id) ?? 0,
+    hasConnectionShare: (id) => leased('connections', id) !== null,
+    writePrimary
+  }
+}
--- /dev/null
+++ b/src/decisions/execution/key-check.ts
@@ -0,0 +1,59 @@
+import type { GroupId, KeyId, WorkspaceId } from '../../types/ids.js'
+import type { Manifest, Workspace } from '../../types/manifest.js'
+import type { Execute, Operation } from '../../types/peer-message.js'
+import type { GroupView } from './group-view.js'
+
+/** Checks requests against the keys and open routes of the manifest in force. */
+export interface KeyCheck {
+  /** @returns whether the key is still one of the workspace, and the workspace one of the group */
+  isKeyValid: (workspace: WorkspaceId, key: KeyId) => boolean
+  /** @returns whether the request may run for its workspace */
+  mayRun: (request: Execute) => boolean
+  weightOf: (workspace: WorkspaceId) => number
+}
+
+interface Index {
+  manifest: Manifest | null
+  workspaces: ReadonlyMap<WorkspaceId, Workspace>
+  keys: ReadonlySet<string>
+  openStatements: ReadonlySet<string>
+}
+
+const keyName = (workspace: WorkspaceId, key: KeyId): string => JSON.stringify([workspace, key])
+const openName = (workspace: WorkspaceId, access: string, statement: string): string => JSON.stringify([workspace, access, statement])
+
+function indexOf (manifest: Manifest | null, group: GroupId): Index {
+  const own = manifest?.workspaces.filter((workspace) => workspace.group === group) ?? []
+  const open = manifest?.routes.filter((route) => route.open) ?? []
+  return {
+    manifest,
+    workspaces: new Map(own.map((workspace) => [workspace.id, workspace])),
+    keys: new Set(own.flatMap((workspace) => workspace.keys.map((key) => keyName(workspace.id, key.id)))),
+    openStatements: new Set(open.map((route) => openName(route.workspace, route.access, route.statement)))
+  }
+}
+
+/** @returns a check that follows the manifest in force */
+export function createKeyCheck (view: GroupView, group: GroupId): KeyCheck {
+  let cached = indexOf(null, group)
+
+  function index (): Index {
+    const manifest = view.manifest()
+    if (cached.manifest !== manifest) cached = indexOf(manifest, group)
+    return cached
+  }
+
+  // A request without a key comes from a route that is open to all. Only such a route's own statement may run.
+  function isOpen (workspace: WorkspaceId, operation: Operation): boolean {
+    if (operation.kind !== 'statement') return false
+    return index().workspaces.has(workspace) && index().openStatements.has(openName(workspace, operation.access, operation.statement))
+  }
+
+  const isKeyValid = (workspace: WorkspaceId, key: KeyId): boolean => index().keys.has(keyName(workspace, key))
+
+  return {
+    isKeyValid,
+    mayRun: (request) => request.keyId === null ? isOpen(request.workspace, request.operation) : isKeyValid(request.workspace, request.keyId),
+    weightOf: (workspace) => index().workspaces.get(workspace)?.weight ?? 1
+  }
+}
--- /dev/null
+++ b/src/decisions/execution/operation-runner.ts
@@ -0,0 +1,66 @@
+import { milliseconds, type Clock, type Milliseconds } from '../../types/clock.js'
+import type { DatabaseOperation } from '../../types/database-operation.js'
+import type { ExecutorEffect } from '../../types/executor-message.js'
+import type { ConnectionId } from '../../types/ids.js'
+import type { PooledConnection } from '../connections/pooled-connection.js'
+import type { RequestRecord } from './request-table.js'
+import type { SlotAccounting } from './slot-accounting.js'
+
+/** An operation that was sent and has no result yet. */
+export interface RunningOperation {
+  readonly connection: PooledConnection
+  readonly record: RequestRecord
+  readonly kind: DatabaseOperation['kind']
+  /** Term of the group when the operation was sent. */
+  readonly term: number
+  readonly startedAt: Milliseconds
+  readonly deadline: Milliseconds
+}
+
+/** Sends operations to connections, one at a time for each, and holds a slot for each while it runs. */
+export interface OperationRunner {
+  start: (connection: PooledConnection, record: RequestRecord, operation: DatabaseOperation, term: number) => void
+  /** Ends the operation of a connection and frees its slot. @returns null when none runs there */
+  finish: (connection: ConnectionId) => RunningOperation | null
+  of: (record: RequestRecord) => RunningOperation | null
+  on: (connection: ConnectionId) => RunningOperation | null
+  all: () => RunningOperation[]
+}
+
+export interface OperationRunnerOptions {
+  clock: Clock
+  slots: SlotAccounting
+  longestOperationMs: number
+  emit: (effect: ExecutorEffect) => void
+}
+
+export function createOperationRunner (options: OperationRunnerOptions): OperationRunner {
+  const { clock, slots, emit } = options
+  const operations = new Map<ConnectionId, RunningOperation>()
+
+  function start (connection: PooledConnection, record: RequestRecord, operation: DatabaseOperation, term: number): void {
+    if (operations.has(connection.id)) throw new Error(`connection ${connection.id} already runs an operation`)
+    const startedAt = clock.now()
+    const deadline = milliseconds(Math.min(record.deadline, startedAt + options.longestOperationMs))
+    operations.set(connection.id, { connection, record, kind: operation.kind, term, startedAt, deadline })
+    slots.take(connection.database)
+    record.stage = 'running'
+    emit({ kind: 'run', connection: connection.id, operation })
+  }
+
+  function finish (id: ConnectionId): RunningOperation | null {
+    const running = operations.get(id)
+    if (running === undefined) return null
+    operations.delete(id)
+    slots.giveBack(running.connection.database)
+    return running
+  }
+
+  return {
+    start,
+    finish,
+    of: (record) => [...operations.values()].find((running) => running.record === record) ?? null,
+    on: (connection) => operations.get(connection) ?? null,
+    all: () => [...operations.values()]
+  }
+}
--- /dev/null
+++ b/src/decisions/execution/placement.ts
@@ -0,0 +1,142 @@
+import type { ConnectionMode } from '../../types/executor-message.js'
+import type { DatabaseId, IncarnationId } from '../../types/ids.js'
+import type { Refusal } from '../../types/outcome.js'
+import { refuse } from '../../types/result-code.js'
+import { pickByFreeSlots, qualifyingDatabases, type ReadCandidate } from '../sessions/read-routing.js'
+import type { ExecutorParts } from './executor-parts.js'
+import type { RequestRecord } from './request-table.js'
+
+/** Where a queued request runs. */
+export interface Placement {
+  database: DatabaseId
+  mode: ConnectionMode
+  incarnation: IncarnationId
+  /** Term of the group. */
+  term: number
+}
+
+/** Finds a database with a free slot and an idle connection for a queued request. */
+export interface Placer {
+  /** Begins a round; forgets which connections were missing. */
+  startRound: () => void
+  /** @returns null when the request must wait */
+  place: (record: RequestRecord) => Placement | null
+  /** Forgets the counts that `place` has cached. Called after an operation was started. */
+  invalidate: () => void
+  /** @returns how many requests found a free slot but no connection in this round */
+  missing: (database: DatabaseId, mode: ConnectionMode) => number
+  /** @returns the refusal of a request that could not be placed before its deadline */
+  refusalAtDeadline: (record: RequestRecord) => Refusal
+}
+
+export function isRead (record: RequestRecord): boolean {
+  const operation = record.request.operation
+  return operation.kind === 'statement' && operation.access === 'read'
+}
+
+export function createPlacer (parts: ExecutorParts): Placer {
+  const { options, view, slots, pool, transactions, runner } = parts
+  const missingCounts = new Map<string, number>()
+  let cachedCandidates: ReadCandidate[] | null = null
+
+  function candidateOf (database: DatabaseId, weight: number): ReadCandidate {
+    const seen = view.observed(database)
+    const primary = view.group()?.primary === database
+    const roleMatches = seen?.status.role === (primary ? 'primary' : 'replica')
+    return {
+      database,
+      primary,
+      weight,
+      current: roleMatches && view.isCurrent(database),
+      position: seen?.status.position ?? null,
+      ageMs: seen === null ? Infinity : seen.status.ageMs + options.clock.now() - seen.observedAt,
+      shared: view.slots(database) > 0 && view.connections(database) > 0,
+      freeSlots: slots.free(database)
+    }
+  }
+
+  function candidates (): ReadCandidate[] {
+    cachedCandidates ??= view.databases().map(({ database, weight }) => candidateOf(database, weight))
+    return cachedCandidates
+  }
+
+  function noteMissing (database: DatabaseId, mode: ConnectionMode): void {
+    const key = `${mode}:${database}`
+    missingCounts.set(key, (missingCounts.get(key) ?? 0) + 1)
+  }
+
+  function hasConnection (database: DatabaseId, mode: ConnectionMode): boolean {
+    const incarnation = view.observed(database)?.status.incarnation
+    if (incarnation !== undefined && pool.hasIdle(database, mode, incarnation)) return true
+    noteMissing(database, mode)
+    return false
+  }
+
+  function placementAt (database: DatabaseId, mode: ConnectionMode): Placement | null {
+    const incarnation = view.observed(database)?.status.incarnation
+    const term = view.group()?.term
+    if (incarnation === undefined || term === undefined) return null
+    return { database, mode, incarnation, term }
+  }
+
+  function qualifying (record: RequestRecord): ReadCandidate[] {
+    const { required, primaryOnly, oldestAgeMs, remainingMs } = record.request
+    const waited = options.clock.now() - record.arrivedAt
+    const mayUsePrimary = waited >= Math.min(options.replicaWaitMs, remainingMs / 2)
+    return qualifyingDatabases(candidates(), { required, primaryOnly, oldestAgeMs, mayUsePrimary })
+  }
+
+  function placeRead (record: RequestRecord): Placement | null {
+    const withSlot = qualifying(record).filter((candidate) => candidate.freeSlots > 0)
+    const ready = withSlot.filter((candidate) => hasConnection(candidate.database, 'read'))
+    const picked = pickByFreeSlots(ready, options.random)
+    return picked === null ? null : placementAt(picked.database, 'read')
+  }
+
+  function transactionCount (database: DatabaseId): number {
+    const open = transactions.all().filter((transaction) => transaction.connection.database === database).length
+    const beginning = runner.all().filter((running) => running.kind === 'begin' && running.connection.database === database).length
+    return open + beginning
+  }
+
+  // Open transactions leave as many connections free as statements can run, so that they never stop all other work.
+  function mayBegin (database: DatabaseId): boolean {
+    const forStatements = Math.max(1, view.slots(database))
+    return transactionCount(database) < Math.max(1, view.connections(database) - forStatements)
+  }
+
+  function placeWrite (record: RequestRecord): Placement | null {
+    const primary = view.writePrimary()
+    const term = view.group()?.term
+    if (primary === null || term === undefined || slots.free(primary.database) === 0) return null
+    // A session that has seen a later term proves that this directory is behind.
+    if (record.request.required !== null && record.request.required.term > term) return null
+    if (record.request.operation.kind === 'begin' && !mayBegin(primary.database)) return null
+    return hasConnection(primary.database, 'write') ? placementAt(primary.database, 'write') : null
+  }
+
+  function refusalAtDeadline (record: RequestRecord): Refusal {
+    const retryAfterMs = Math.ceil(parts.queue.waitingTimeMs(record.request.workspace))
+    if (isRead(record)) {
+      if (qualifying(record).length > 0) return refuse('deadlineExceeded', 'not-run', 'no slot became free before the deadline', retryAfterMs)
+      return refuse('noFreshReplica', 'not-run', 'no database qualified for the read before the deadline', retryAfterMs)
+    }
+    const primary = view.writePrimary()
+    if (primary === null) return refuse('noPrimary', 'not-run', 'the group had no primary that takes writes before the deadline', retryAfterMs)
+    if (record.request.operation.kind === 'begin' && !mayBegin(primary.database)) {
+      return refuse('tooManyTransactions', 'not-run', 'no connection became free for another transaction before the deadline', retryAfterMs)
+    }
+    return refuse('deadlineExceeded', 'not-run', 'no slot became free before the deadline', retryAfterMs)
+  }
+
+  return {
+    startRound: () => {
+      missingCounts.clear()
+      cachedCandidates = null
+    },
+    place: (record) => isRead(record) ? placeRead(record) : placeWrite(record),
+    invalidate: () => { cachedCandidates = null },
+    missing: (database, mode) => missingCounts.get(`${mode}:${database}`) ?? 0,
+    refusalAtDeadline
+  }
+}
--- /dev/null
+++ b/src/decisions/execution/transaction-operations.ts
@@ -0,0 +1,142 @@
+import type { DatabaseOperation } from '../../types/database-operation.js'
+import type { Refusal } from '../../types/outcome.js'
+import type { Operation } from '../../types/peer-message.js'
+import { refuse } from '../../types/result-code.js'
+import { finishOperation, type ExecutorParts } from './executor-parts.js'
+import { refusalOfAbandoned, successOf } from './operation-outcome.js'
+import type { RequestRecord } from './request-table.js'
+import type { Transaction } from './transaction-table.js'
+
+type TransactionOperation = Exclude<Operation, { kind: 'statement' } | { kind: 'begin' }>
+
+/** Runs the operations of open transactions and ends transactions that must not go on. */
+export interface TransactionOperations {
+  /** Takes a statement, commit or rollback of an open transaction. */
+  accept: (record: RequestRecord, operation: TransactionOperation) => void
+  /** Starts waiting operations where a slot is free. */
+  runWaiting: () => void
+  /** Rolls a transaction back by closing its connection. */
+  abort: (transaction: Transaction, message: string) => void
+  /** Ends a transaction that was committed or rolled back; its connection is clean. */
+  endClean: (transaction: Transaction) => void
+  /** Ends transactions whose term, key, share or time is over, and charges the time that the others held. */
+  sweep: () => void
+}
+
+function databaseOperation (operation: TransactionOperation): DatabaseOperation {
+  if (operation.kind === 'transaction-statement') return { kind: 'statement', statement: operation.statement, values: operation.values }
+  return { kind: operation.kind }
+}
+
+export function createTransactionOperations (parts: ExecutorParts): TransactionOperations {
+  const { options, view, keys, requests, queue, slots, runner, pool, transactions } = parts
+  const { clock } = options
+
+  function chargeHeldTime (transaction: Transaction): void {
+    const held = clock.now() - transaction.chargedUntil
+    transaction.chargedUntil = clock.now()
+    if (held > 0) queue.charge(transaction.workspace, held)
+  }
+
+  function abort (transaction: Transaction, message: string): void {
+    const running = finishOperation(parts, transaction.connection.id)
+    chargeHeldTime(transaction)
+    transactions.remove(transaction)
+    transactions.markAborted(transaction)
+    pool.discard(transaction.connection.id)
+    if (transaction.current === null) return
+    const refusal = running === null ? refuse('transactionAborted', 'not-run', message) : refusalOfAbandoned(running.kind, message)
+    requests.end(transaction.current, refusal)
+  }
+
+  function endClean (transaction: Transaction): void {
+    chargeHeldTime(transaction)
+    transactions.remove(transaction)
+    pool.release(transaction.connection.id)
+  }
+
+  function answerEnded (record: RequestRecord, operation: TransactionOperation): void {
+    if (!transactions.wasAborted(operation.transaction, record.request.workspace)) {
+      requests.end(record, refuse('unknownTransaction', 'not-run', 'the transaction does not exist or has ended'))
+      return
+    }
+    if (operation.kind === 'rollback') {
+      requests.end(record, successOf({ rows: [], rowCount: 0 }, { database: null, role: null, position: null, transaction: null }))
+      return
+    }
+    requests.end(record, refuse('transactionAborted', 'not-run', 'the transaction was rolled back earlier'))
+  }
+
+  /** @returns why the operation may not run now, or null */
+  function refusalOf (record: RequestRecord, transaction: Transaction): Refusal | null {
+    if (!view.isFresh()) return refuse('notFresh', 'not-run', 'the instance has no valid freshness lease')
+    const key = record.request.keyId
+    if (key === null || !keys.isKeyValid(transaction.workspace, key)) return refuse('keyRefused', 'not-run', 'the key was withdrawn')
+    return null
+  }
+
+  function accept (record: RequestRecord, operation: TransactionOperation): void {
+    const transaction = transactions.find(operation.transaction, record.request.workspace)
+    if (transaction === null) {
+      answerEnded(record, operation)
+      return
+    }
+    const refusal = refusalOf(record, transaction)
+    if (refusal !== null) {
+      requests.end(record, refusal)
+      return
+    }
+    if (transaction.current !== null) {
+      requests.end(record, refuse('transactionBusy', 'not-run', 'an earlier operation of the transaction has no answer yet'))
+      return
+    }
+    transaction.current = record
+    transaction.requester = record.from
+    transaction.lastUsedAt = clock.now()
+    record.stage = 'waiting-for-slot'
+  }
+
+  function runCurrent (transaction: Transaction, record: RequestRecord): void {
+    const refusal = refusalOf(record, transaction)
+    if (refusal !== null) {
+      transaction.current = null
+      requests.end(record, refusal)
+      return
+    }
+    const operation = record.request.operation
+    if (operation.kind === 'statement' || operation.kind === 'begin') return
+    runner.start(transaction.connection, record, databaseOperation(operation), transaction.term)
+  }
+
+  // An open transaction holds locks and a connection, so its operations go before the fair queue.
+  function runWaiting (): void {
+    const waiting = transactions.all().filter((transaction) => transaction.current?.stage === 'waiting-for-slot')
+    waiting.sort((left, right) => left.lastUsedAt - right.lastUsedAt)
+    for (const transaction of waiting) {
+      if (transaction.current === null || slots.free(transaction.connection.database) === 0) continue
+      runCurrent(transaction, transaction.current)
+    }
+  }
+
+  /** @returns why the transaction must end, or null */
+  function endOf (transaction: Transaction): string | null {
+    const key = transaction.beginRequest.keyId
+    const now = clock.now()
+    if (view.group()?.term !== transaction.term) return `term ${transaction.term} of the group ended`
+    if (key === null || !keys.isKeyValid(transaction.workspace, key)) return 'the key of the transaction was withdrawn'
+    if (!view.hasConnectionShare(transaction.connection.database)) return 'the connection share of the instance ran out'
+    if (now - transaction.beganAt >= options.longestTransactionMs) return `the transaction was open for ${options.longestTransactionMs} ms`
+    if (transaction.current === null && now - transaction.lastUsedAt >= options.transactionIdleMs) return `the transaction was idle for ${options.transactionIdleMs} ms`
+    return null
+  }
+
+  function sweep (): void {
+    for (const transaction of transactions.all()) {
+      const reason = endOf(transaction)
+      if (reason === null) chargeHeldTime(transaction)
+      else abort(transaction, reason)
+    }
+  }
+
+  return { accept, runWaiting, abort, endClean, sweep }
+}
--- /dev/null
+++ b/test/decisions/execution/simple-request-queue.ts
@@ -0,0 +1,35 @@
+import type { QueueEntry, RequestQueue, RequestQueueOptions } from '../../../src/decisions/execution/request-queue.js'
+import type { WorkspaceId } from '../../../src/types/ids.js'
+
+/** Serves the workspace with the least charged time first. */
+export function createSimpleQueue<Item> ({ clock, weightOf }: RequestQueueOptions, capacity = 100): RequestQueue<Item> {
+  let entries: QueueEntry<Item>[] = []
+  const charged = new Map<WorkspaceId, number>()
+  const chargedTo = (workspace: WorkspaceId): number => charged.get(workspace) ?? 0
+  const charge = (workspace: WorkspaceId, usedMs: number): void => { charged.set(workspace, chargedTo(workspace) + usedMs / weightOf(workspace)) }
+
+  function remove (matches: (entry: QueueEntry<Item>) => boolean): QueueEntry<Item>[] {
+    const removed = entries.filter(matches)
+    entries = entries.filter((entry) => !removed.includes(entry))
+    return removed
+  }
+
+  function take (canRun: (item: Item) => boolean): Item | null {
+    const ordered = [...entries].sort((left, right) => chargedTo(left.workspace) - chargedTo(right.workspace))
+    const next = ordered.find((entry) => canRun(entry.item))
+    if (next === undefined) return null
+    remove((entry) => entry === next)
+    charge(next.workspace, next.expectedMs)
+    return next.item
+  }
+
+  return {
+    enqueue: (entry) => entries.length < capacity && entries.push(entry) > 0,
+    take,
+    cancel: (id) => remove((entry) => entry.id === id).length > 0,
+    charge,
+    expire: () => remove((entry) => entry.deadline <= clock.now()).map((entry) => entry.item),
+    waitingTimeMs: () => entries.length,
+    size: () => entries.length
+  }
+}
