--- a/src/decisions/sessions/session-token.ts
+++ b/src/decisions/sessions/session-token.ts
@@ -20,7 +20,7 @@
 const LONGEST_TOKEN = 512
 // 48 bits: a random change passes with a probability of less than 4e-15.
 const CHECKSUM_CHARACTERS = 8
-const NUMBER = /^(0|[1-9][0-9a-z]*)$/
+const NUMBER = /^(0|[1-9a-z][0-9a-z]*)$/
 
 function checksum (body: string): string {
   return createHash('sha256').update(body).digest('base64url').slice(0, CHECKSUM_CHARACTERS)
--- a/test/decisions/execution/executor-harness.ts
+++ b/test/decisions/execution/executor-harness.ts
@@ -3,7 +3,7 @@
 import type { GroupExecutorOptions } from '../../../src/decisions/execution/executor-options.js'
 import { createGroupExecutor } from '../../../src/decisions/execution/group-executor.js'
 import { addTime, milliseconds } from '../../../src/types/clock.js'
-import type { DatabaseOperation, OperationDone, OperationResult } from '../../../src/types/database-operation.js'
+import type { DatabaseOperation, OperationDone, OperationFailed, OperationResult } from '../../../src/types/database-operation.js'
 import type { DatabaseStatus } from '../../../src/types/database-status.js'
 import type { DirectoryDatabase, DirectoryGroup } from '../../../src/types/directory.js'
 import type { ExecutorEffect, ExecutorMessage } from '../../../src/types/executor-message.js'
@@ -11,6 +11,7 @@
 import type { Manifest } from '../../../src/types/manifest.js'
 import type { Outcome } from '../../../src/types/outcome.js'
 import type { Execute, Operation } from '../../../src/types/peer-message.js'
+import { resultCodes } from '../../../src/types/result-code.js'
 import { createSimpleQueue } from './simple-request-queue.js'
 
 export const GROUP = groupId('orders')
@@ -167,6 +168,7 @@
   }
 
   const databaseOf = (connection: ConnectionId): DatabaseId | undefined => effects.filter((effect) => effect.kind === 'open-connection').find((effect) => effect.connection === connection)?.database
+  const connectionsTo = (database: DatabaseId): ConnectionId[] => effects.filter((effect) => effect.kind === 'open-connection').filter((effect) => effect.database === database).map((effect) => effect.connection)
   const runs = (): { connection: ConnectionId, operation: DatabaseOperation, database: DatabaseId | undefined }[] =>
     effects.filter((effect) => effect.kind === 'run').map(({ connection, operation }) => ({ connection, operation, database: databaseOf(connection) }))
   const isClosed = (connection: ConnectionId): boolean => effects.some((effect) => effect.kind === 'close-connection' && effect.connection === connection)
@@ -215,6 +217,7 @@
     advance,
     openConnections,
     runs,
+    connectionsTo,
     lastRun,
     finish,
     isClosed,
@@ -230,4 +233,22 @@
   }
 }
 
+export const READ: Operation = { kind: 'statement', statement: 'select 2', values: [], access: 'read' }
+export const WRITE: Operation = { kind: 'statement', statement: 'update x', values: [], access: 'write' }
+export const BEGIN: Operation = { kind: 'begin' }
+export const AT = { term: 1, offset: 11 }
+
+export function failed (phase: OperationFailed['phase'], sqlState: string | null = null, connectionUsable = false): OperationFailed {
+  return { kind: 'failed', phase, sqlState, message: 'failed', connectionUsable }
+}
+
+export function refusal (harness: ExecutorHarness, id: string): { name: string, outcome: string } | null {
+  const outcome = harness.answers.get(id)?.[0]
+  if (outcome === undefined || outcome.kind === 'success') return null
+  const name = Object.entries(resultCodes).find(([, entry]) => entry.code === outcome.code)?.[0] ?? ''
+  return { name, outcome: outcome.outcome }
+}
+
+export const isSuccess = (harness: ExecutorHarness, id: string): boolean => harness.answers.get(id)?.[0]?.kind === 'success'
+
 export type ExecutorHarness = ReturnType<typeof createExecutorHarness>
--- /dev/null
+++ b/test/decisions/execution/fake-group.ts
@@ -0,0 +1,114 @@
+import { incarnationId, type DatabaseId, type IncarnationId } from '../../../src/types/ids.js'
+import { compareLogPositions, type LogPosition } from '../../../src/types/log-position.js'
+import type { DatabaseStatus } from '../../../src/types/database-status.js'
+
+/** One committed entry; it holds the statements that were committed together. */
+export interface Entry {
+  term: number
+  statements: readonly string[]
+}
+
+export interface FakeDatabase {
+  id: DatabaseId
+  run: number
+  role: 'primary' | 'replica'
+  term: number
+  fencedTerm: number
+  log: Entry[]
+}
+
+export const incarnationOf = (database: FakeDatabase): IncarnationId => incarnationId(`run-${database.run}`)
+
+export function positionOf (database: FakeDatabase): LogPosition {
+  return { term: database.log.at(-1)?.term ?? 1, offset: database.log.length }
+}
+
+export function statusOf (database: FakeDatabase): DatabaseStatus {
+  const { id, role, term, fencedTerm } = database
+  return { database: id, incarnation: incarnationOf(database), role, term, fencedTerm, position: positionOf(database), ageMs: 0 }
+}
+
+export const holdsStatement = (database: FakeDatabase, statement: string): boolean => database.log.some((entry) => entry.statements.includes(statement))
+
+/** Three databases with terms, fencing and asynchronous replication, as design sections 2.3 and 5.7 describe them. */
+export function createFakeGroup (ids: readonly DatabaseId[]) {
+  const databases: FakeDatabase[] = ids.map((id, index) => ({ id, run: 1, role: index === 0 ? 'primary' : 'replica', term: 1, fencedTerm: 1, log: [] }))
+  /** How often each statement was committed. */
+  const applied = new Map<string, number>()
+
+  function find (id: DatabaseId): FakeDatabase {
+    const database = databases.find((entry) => entry.id === id)
+    if (database === undefined) throw new Error(`no database ${id}`)
+    return database
+  }
+
+  /** The primary of the highest term; there may be an older one that has not learned of it. */
+  function newestPrimary (): FakeDatabase {
+    const primaries = databases.filter((database) => database.role === 'primary').sort((left, right) => right.term - left.term)
+    const newest = primaries[0]
+    if (newest === undefined) throw new Error('no primary')
+    return newest
+  }
+
+  const takesWrites = (database: FakeDatabase, term: number): boolean => database.role === 'primary' && database.term === term && database.fencedTerm <= term
+
+  function commit (database: FakeDatabase, statements: readonly string[]): LogPosition {
+    database.log.push({ term: database.term, statements })
+    for (const statement of statements) applied.set(statement, (applied.get(statement) ?? 0) + 1)
+    return positionOf(database)
+  }
+
+  /**
+   * Copies one entry from the primary of the replica's term. A fenced replica takes nothing of lower terms.
+   * @returns whether there was an entry to copy
+   */
+  function replicate (replica: FakeDatabase): boolean {
+    const primary = databases.find((database) => database.role === 'primary' && database.term === replica.term)
+    if (primary === undefined || replica.role !== 'replica' || replica.fencedTerm > replica.term) return false
+    const next = primary.log[replica.log.length]
+    if (next !== undefined) replica.log.push(next)
+    return next !== undefined
+  }
+
+  /** Fences and promotes among a majority that excludes one database. */
+  function failOver (excluded: DatabaseId): number {
+    const term = Math.max(...databases.map((database) => Math.max(database.term, database.fencedTerm))) + 1
+    const majority = databases.filter((database) => database.id !== excluded)
+    for (const database of majority) database.fencedTerm = term
+    majority.sort((left, right) => compareLogPositions(positionOf(right), positionOf(left)))
+    const [chosen] = majority
+    if (chosen === undefined) throw new Error('no majority')
+    chosen.role = 'primary'
+    chosen.term = term
+    return term
+  }
+
+  /** Makes a database replicate from the newest primary, without the entries which that one does not hold. */
+  function follow (database: FakeDatabase): void {
+    const primary = newestPrimary()
+    if (database === primary) return
+    let common = 0
+    while (common < database.log.length && database.log[common] === primary.log[common]) common++
+    database.log.length = common
+    database.role = 'replica'
+    database.term = primary.term
+    database.fencedTerm = Math.max(database.fencedTerm, primary.term)
+  }
+
+  /** Restarts a database. It loses what it may lose: entries that no other database holds, or that both others hold. */
+  function restart (database: FakeDatabase): void {
+    const others = databases.filter((entry) => entry !== database)
+    const isHeld = (entry: Entry): number => others.filter((other) => other.log.includes(entry)).length
+    while (database.log.length > 0) {
+      const last = database.log.at(-1)
+      if (last === undefined || isHeld(last) === 1) break
+      if (database.role === 'primary' && isHeld(last) !== 0) break
+      database.log.pop()
+    }
+    database.run++
+  }
+
+  return { databases, applied, find, newestPrimary, takesWrites, commit, replicate, failOver, follow, restart }
+}
+
+export type FakeGroup = ReturnType<typeof createFakeGroup>
--- /dev/null
+++ b/test/decisions/execution/transactions.test.ts
@@ -0,0 +1,108 @@
+import t from 'tap'
+import type { CreateRequestQueue, RequestQueueOptions } from '../../../src/decisions/execution/request-queue.js'
+import { workspaceId } from '../../../src/types/ids.js'
+import { createExecutorHarness, manifestWith, WRITE, BEGIN, AT, failed, refusal, isSuccess, type ExecutorHarness } from './executor-harness.js'
+import { createSimpleQueue } from './simple-request-queue.js'
+
+t.test('transactions leave connections for single statements', async (t) => {
+  const harness = createExecutorHarness()
+  harness.setShare({ slots: 1, connections: 3 })
+  harness.begin()
+  harness.openConnections()
+  harness.begin()
+  const id = harness.execute(BEGIN)
+  harness.openConnections()
+  harness.execute(WRITE, { remainingMs: 100 })
+  harness.openConnections()
+  t.equal(harness.lastRun().operation.kind, 'write')
+  harness.advance(1000)
+  t.same(refusal(harness, id), { name: 'tooManyTransactions', outcome: 'not-run' })
+})
+
+t.test('a begin whose transaction was committed before is answered with the recorded position', async (t) => {
+  const harness = createExecutorHarness()
+  const id = harness.execute(BEGIN, { idempotencyKey: 'key' })
+  harness.finish(harness.lastRun().connection, { position: { term: 1, offset: 4 }, replayed: true })
+  t.match(harness.answers.get(id), [{ kind: 'success', transaction: null, position: { offset: 4 } }])
+  t.equal(harness.executor.activeCount(), 0)
+})
+
+t.test('another workspace can not use a transaction', async (t) => {
+  const harness = createExecutorHarness()
+  const transaction = harness.begin()
+  const id = harness.execute({ kind: 'commit', transaction }, { workspace: workspaceId('bank') })
+  t.same(refusal(harness, id), { name: 'unknownTransaction', outcome: 'not-run' })
+  t.match(transaction, /^entry-1\.[^.]+$/)
+})
+
+t.test('statements of a transaction run one at a time on its connection, which no other request gets', async (t) => {
+  const harness = createExecutorHarness()
+  const transaction = harness.begin()
+  const { connection } = harness.lastRun()
+  harness.execute({ kind: 'transaction-statement', transaction, statement: 'update y', values: [] })
+  t.equal(harness.lastRun().connection, connection)
+  const busy = harness.execute({ kind: 'transaction-statement', transaction, statement: 'update z', values: [] })
+  t.same(refusal(harness, busy), { name: 'transactionBusy', outcome: 'not-run' })
+  harness.finish(connection)
+  harness.execute(WRITE)
+  harness.openConnections()
+  t.not(harness.lastRun().connection, connection)
+  harness.finish(harness.lastRun().connection, { position: AT })
+  const commit = harness.execute({ kind: 'commit', transaction })
+  harness.finish(connection, { position: AT })
+  harness.observeAll({ position: AT })
+  harness.tick()
+  t.ok(isSuccess(harness, commit))
+  t.notOk(harness.isClosed(connection))
+})
+
+const transactionEnds: { fault: string, change: (harness: ExecutorHarness) => void }[] = [
+  { fault: 'its key is withdrawn', change: (harness) => harness.manifest.write({ version: 2, manifest: manifestWith(['another']) }) },
+  { fault: 'its requester is lost', change: (harness) => harness.send({ kind: 'requester-lost', from: 'peer' }) },
+  { fault: 'the term changes', change: (harness) => harness.setGroup({ term: 2, phase: 'electing' }) },
+  { fault: 'it is idle for too long', change: (harness) => harness.advance(10_000) },
+  { fault: 'the connection share runs out', change: (harness) => harness.setShare({ slots: 2, connections: 6 }, 1) }
+]
+
+for (const { fault, change } of transactionEnds) {
+  t.test(`a transaction is rolled back and its connection closed when ${fault}`, async (t) => {
+    const harness = createExecutorHarness()
+    const transaction = harness.begin()
+    const { connection } = harness.lastRun()
+    change(harness)
+    harness.tick()
+    t.ok(harness.isClosed(connection))
+    const id = harness.execute({ kind: 'commit', transaction })
+    t.same(refusal(harness, id), { name: 'transactionAborted', outcome: 'not-run' })
+    t.equal(harness.executor.activeCount(), 0)
+  })
+}
+
+t.test('a commit without an answer is unknown, and a failed statement ends its transaction', async (t) => {
+  const harness = createExecutorHarness()
+  const first = harness.begin()
+  const commit = harness.execute({ kind: 'commit', transaction: first })
+  harness.send({ kind: 'connection-closed', connection: harness.lastRun().connection })
+  t.same(refusal(harness, commit), { name: 'outcomeUnknown', outcome: 'unknown' })
+  harness.openConnections()
+  const second = harness.begin()
+  const statement = harness.execute({ kind: 'transaction-statement', transaction: second, statement: 'update y', values: [] })
+  harness.finish(harness.lastRun().connection, failed('refused', '42601', true))
+  t.same(refusal(harness, statement), { name: 'databaseError', outcome: 'not-run' })
+  t.ok(harness.isClosed(harness.lastRun().connection))
+  t.ok(isSuccess(harness, harness.execute({ kind: 'rollback', transaction: second })), 'the caller wanted no more than that')
+})
+
+t.test('the time that a transaction holds its connection is charged to its workspace', async (t) => {
+  const charges: number[] = []
+  const createQueue: CreateRequestQueue = <Item>(options: RequestQueueOptions) => {
+    const queue = createSimpleQueue<Item>(options)
+    return { ...queue, charge: (_workspace, usedMs) => { charges.push(usedMs) } }
+  }
+  const harness = createExecutorHarness({ createQueue })
+  const transaction = harness.begin()
+  harness.advance(400)
+  harness.execute({ kind: 'rollback', transaction })
+  harness.finish(harness.lastRun().connection)
+  t.equal(charges.reduce((sum, charge) => sum + charge, 0), 400)
+})
--- /dev/null
+++ b/test/decisions/sessions/statement-kind.test.ts
@@ -0,0 +1,30 @@
+import t from 'tap'
+import { statementKind, type StatementKind } from '../../../src/decisions/sessions/statement-kind.js'
+
+const cases: { statement: string, kind: StatementKind | null }[] = [
+  { statement: 'select 1', kind: 'select' },
+  { statement: '  SELECT*from t', kind: 'select' },
+  { statement: 'Insert into t values (1)', kind: 'insert' },
+  { statement: 'update t set a = 1', kind: 'update' },
+  { statement: 'delete from t', kind: 'delete' },
+  { statement: 'with a as (select 1) select * from a', kind: 'with' },
+  { statement: '-- note\n select 1', kind: 'select' },
+  { statement: '/* a /* nested */ note */ select 1', kind: 'select' },
+  { statement: 'set role admin', kind: null },
+  { statement: 'begin', kind: null },
+  { statement: 'commit', kind: null },
+  { statement: '/* select */ set role admin', kind: null },
+  { statement: '/* a /* nested */ select 1', kind: null },
+  { statement: '-- select 1', kind: null },
+  { statement: 'selection', kind: null },
+  { statement: 'select_all()', kind: null },
+  { statement: 'ſelect 1', kind: null },
+  { statement: '; select 1', kind: null },
+  { statement: '', kind: null }
+]
+
+for (const { statement, kind } of cases) {
+  t.test(`${JSON.stringify(statement)} is ${kind ?? 'refused'}`, async (t) => {
+    t.equal(statementKind(statement), kind)
+  })
+}
