--- /dev/null
+++ b/test/decisions/routing/holder-selection.test.ts
@@ -0,0 +1,49 @@
+import t from 'tap'
+import { holderOfTransaction, selectHolder } from '../../../src/decisions/routing/holder-selection.js'
+import type { DirectoryInstance } from '../../../src/types/directory.js'
+import { address, failureDomainId, incarnationId, instanceId, transactionId, type InstanceId } from '../../../src/types/ids.js'
+
+interface Holder {
+  name: string
+  domain?: string
+  draining?: boolean
+  connected?: boolean
+  outstanding?: number
+}
+
+function choose (holders: Holder[]): string | null {
+  const entries: DirectoryInstance[] = holders.map(({ name, domain = 'b', draining = false }) => ({
+    instance: instanceId(name), incarnation: incarnationId('run'), peerAddress: address('127.0.0.1:1'), failureDomain: failureDomainId(domain), draining
+  }))
+  const find = (id: InstanceId): Holder | undefined => holders.find(({ name }) => name === id)
+  return selectHolder({
+    self: instanceId('self'),
+    failureDomain: failureDomainId('a'),
+    holders: entries,
+    isConnected: (id) => find(id)?.connected ?? true,
+    outstanding: (id) => find(id)?.outstanding ?? 0
+  })?.instance ?? null
+}
+
+const cases: { situation: string, holders: Holder[], expected: string | null }[] = [
+  { situation: 'itself before all others', holders: [{ name: 'x', domain: 'a' }, { name: 'self', connected: false, outstanding: 9 }], expected: 'self' },
+  { situation: 'one of its failure domain', holders: [{ name: 'x' }, { name: 'near', domain: 'a', outstanding: 9 }], expected: 'near' },
+  { situation: 'the one with the fewest outstanding requests', holders: [{ name: 'x', outstanding: 2 }, { name: 'y', outstanding: 1 }], expected: 'y' },
+  { situation: 'no draining one while there is another', holders: [{ name: 'self', draining: true }, { name: 'x', outstanding: 9 }], expected: 'x' },
+  { situation: 'no unconnected one while there is another', holders: [{ name: 'near', domain: 'a', connected: false }, { name: 'x' }], expected: 'x' },
+  { situation: 'a draining one rather than an unconnected one', holders: [{ name: 'x', connected: false }, { name: 'y', draining: true }], expected: 'y' },
+  { situation: 'an unconnected one when there is nothing else', holders: [{ name: 'x', connected: false }], expected: 'x' },
+  { situation: 'none when the group has none', holders: [], expected: null }
+]
+
+for (const { situation, holders, expected } of cases) {
+  t.test(`an instance picks ${situation}`, async (t) => {
+    t.equal(choose(holders), expected)
+    t.equal(choose([...holders].reverse()), expected, 'whatever the order of the directory')
+  })
+}
+
+t.test('the holder of a transaction is read from its id, also when the instance id contains full stops', async (t) => {
+  t.equal(holderOfTransaction(transactionId('entry.eu-1.abc')), 'entry.eu-1')
+  for (const id of ['abc', '.abc', 'entry.', '']) t.equal(holderOfTransaction(transactionId(id)), null)
+})
--- /dev/null
+++ b/test/decisions/routing/request-dispatcher.test.ts
@@ -0,0 +1,177 @@
+import t from 'tap'
+import { milliseconds } from '../../../src/types/clock.js'
+import { instanceId, requestId, transactionId } from '../../../src/types/ids.js'
+import type { Outcome, RunState, Success } from '../../../src/types/outcome.js'
+import type { Execute, Operation } from '../../../src/types/peer-message.js'
+import { refuse, resultCodes, type ResultName } from '../../../src/types/result-code.js'
+import { createDispatcherHarness, FIRST, SECOND, SELF, type DispatcherHarness } from './dispatcher-harness.js'
+
+const READ: Operation = { kind: 'statement', statement: 'select 1', values: [], access: 'read' }
+const WRITE: Operation = { kind: 'statement', statement: 'update x', values: [], access: 'write' }
+const COMMIT: Operation = { kind: 'commit', transaction: transactionId(`${FIRST}.x`) }
+const SUCCESS: Success = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, transaction: null }
+
+const refusalOf = (name: ResultName, outcome: RunState): Outcome => refuse(name, outcome, 'test')
+
+function outcomeOf (harness: DispatcherHarness, id: string): { name: string, outcome: string } | 'success' | null {
+  const outcome = harness.outcomes.get(id)?.[0]
+  if (outcome === undefined) return null
+  if (outcome.kind === 'success') return 'success'
+  return { name: Object.entries(resultCodes).find(([, entry]) => entry.code === outcome.code)?.[0] ?? '', outcome: outcome.outcome }
+}
+
+const KEYED = { idempotencyKey: 'key' }
+const ONCE = { nonIdempotent: true }
+const refusals: { operation: Operation, change?: Partial<Execute>, name: ResultName, outcome: RunState, retried: boolean }[] = [
+  ...(['noHolder', 'notFresh', 'noPrimary', 'databaseRefused', 'noDatabase', 'shuttingDown'] as const).map((name) => ({ operation: WRITE, change: ONCE, name, outcome: 'not-run' as const, retried: true })),
+  { operation: WRITE, change: KEYED, name: 'databaseError', outcome: 'not-run', retried: false },
+  { operation: READ, name: 'queueFull', outcome: 'not-run', retried: false },
+  { operation: READ, name: 'outcomeUnknown', outcome: 'unknown', retried: true },
+  { operation: READ, change: ONCE, name: 'outcomeUnknown', outcome: 'unknown', retried: false },
+  { operation: WRITE, name: 'outcomeUnknown', outcome: 'unknown', retried: false },
+  { operation: WRITE, change: KEYED, name: 'outcomeUnknown', outcome: 'unknown', retried: true },
+  { operation: WRITE, change: KEYED, name: 'notDurable', outcome: 'unknown', retried: true },
+  { operation: WRITE, change: { ...KEYED, ...ONCE }, name: 'notDurable', outcome: 'unknown', retried: false },
+  { operation: COMMIT, name: 'outcomeUnknown', outcome: 'unknown', retried: false },
+  { operation: COMMIT, name: 'notFresh', outcome: 'not-run', retried: false }
+]
+
+for (const { operation, change = {}, name, outcome, retried } of refusals) {
+  const what = `${operation.kind === 'statement' ? operation.access : operation.kind} ${JSON.stringify(change)}`
+  t.test(`${what} refused with ${name}, ${outcome}, is ${retried ? 'sent to another holder' : 'not sent again'}`, async (t) => {
+    const harness = createDispatcherHarness()
+    const id = harness.request(operation, change)
+    harness.answer(harness.lastSent(), refusalOf(name, outcome))
+    harness.advance(200)
+    t.same(harness.sent.map(({ to }) => to), retried ? [FIRST, SECOND] : [FIRST])
+    t.same(outcomeOf(harness, id), retried ? null : { name, outcome })
+  })
+}
+
+const losses: { operation: Operation, change?: Partial<Execute>, retried: boolean }[] = [
+  { operation: READ, retried: true },
+  { operation: READ, change: ONCE, retried: false },
+  { operation: WRITE, retried: false },
+  { operation: WRITE, change: ONCE, retried: false },
+  { operation: WRITE, change: KEYED, retried: true },
+  { operation: { kind: 'begin' }, retried: true },
+  { operation: COMMIT, retried: false }
+]
+
+for (const { operation, change = {}, retried } of losses) {
+  const what = `${operation.kind === 'statement' ? operation.access : operation.kind} ${JSON.stringify(change)}`
+  t.test(`${what} whose holder is lost is ${retried ? 'sent to another' : 'unknown'}`, async (t) => {
+    const harness = createDispatcherHarness()
+    const id = harness.request(operation, change)
+    harness.losePeer(FIRST)
+    t.same(harness.sent.map(({ to }) => to), retried ? [FIRST, SECOND] : [FIRST])
+    t.same(outcomeOf(harness, id), retried ? null : { name: 'outcomeUnknown', outcome: 'unknown' })
+  })
+}
+
+t.test('a repeated request that is refused at last stays unknown, since the first attempt may have run', async (t) => {
+  const harness = createDispatcherHarness()
+  const id = harness.request(WRITE, KEYED)
+  harness.losePeer(FIRST)
+  harness.answer(harness.lastSent(), refusalOf('databaseError', 'not-run'))
+  t.same(outcomeOf(harness, id), { name: 'databaseError', outcome: 'unknown' })
+})
+
+t.test('an empty retry budget ends repetitions of what may have run, but not of what never ran', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.budget.retries = 0
+  const unknown = harness.request(READ)
+  harness.answer(harness.lastSent(), refusalOf('outcomeUnknown', 'unknown'))
+  t.same(outcomeOf(harness, unknown), { name: 'retryBudgetExhausted', outcome: 'unknown' })
+  harness.request(READ)
+  harness.answer(harness.lastSent(), refusalOf('shuttingDown', 'not-run'))
+  t.equal(harness.sent.length, 3)
+})
+
+t.test('a request without an answer is cancelled at its deadline and unknown; its late answer is ignored', async (t) => {
+  const harness = createDispatcherHarness()
+  const id = harness.request(READ)
+  const attempt = harness.lastSent()
+  t.ok(attempt.message.remainingMs < 1000, 'the holder stops first, so that its exact refusal can arrive')
+  harness.advance(1000)
+  t.same(harness.cancelled, [attempt.message.requestId])
+  t.same(outcomeOf(harness, id), { name: 'deadlineExceeded', outcome: 'unknown' })
+  harness.answer(attempt, SUCCESS)
+  t.equal(harness.outcomes.get(id)?.length, 1)
+  t.equal(harness.dispatcher.activeCount(), 0)
+})
+
+t.test('a late answer to an earlier attempt, a repeated one or one from another instance is not taken', async (t) => {
+  const harness = createDispatcherHarness()
+  const id = harness.request(READ)
+  const first = harness.lastSent()
+  harness.losePeer(FIRST)
+  harness.answer(first, SUCCESS)
+  harness.answer(harness.lastSent(), SUCCESS, FIRST)
+  t.equal(outcomeOf(harness, id), null)
+  harness.answer(harness.lastSent(), SUCCESS)
+  harness.answer(harness.lastSent(), refusalOf('databaseError', 'not-run'))
+  t.equal(outcomeOf(harness, id), 'success')
+  t.equal(harness.outcomes.get(id)?.length, 1)
+})
+
+t.test('a request waits while no holder can be reached, and is not run when none appears', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.connected.clear()
+  const early = harness.request(WRITE, ONCE)
+  harness.advance(500)
+  harness.connected.add(SECOND)
+  harness.advance(50)
+  t.equal(harness.lastSent().to, SECOND)
+  harness.answer(harness.lastSent(), SUCCESS)
+  t.equal(outcomeOf(harness, early), 'success')
+  harness.setHolders([])
+  const late = harness.request(WRITE, ONCE)
+  harness.advance(1000)
+  t.same(outcomeOf(harness, late), { name: 'noHolder', outcome: 'not-run' })
+})
+
+t.test('holders that all refused are tried again only after a pause', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.request(READ)
+  harness.answer(harness.lastSent(), refusalOf('notFresh', 'not-run'))
+  harness.answer(harness.lastSent(), refusalOf('notFresh', 'not-run'))
+  t.equal(harness.sent.length, 2)
+  harness.advance(100)
+  t.equal(harness.sent.length, 3)
+})
+
+t.test('an operation of a transaction goes to its holder only', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.request({ kind: 'commit', transaction: transactionId(`${SECOND}.x`) })
+  t.equal(harness.lastSent().to, SECOND)
+  const foreign = harness.request({ kind: 'commit', transaction: transactionId('gone.x') })
+  t.same(outcomeOf(harness, foreign), { name: 'unknownTransaction', outcome: 'not-run' })
+  harness.connected.delete(SECOND)
+  const unreachable = harness.request({ kind: 'commit', transaction: transactionId(`${SECOND}.x`) })
+  harness.advance(1000)
+  t.same(outcomeOf(harness, unreachable), { name: 'noHolder', outcome: 'not-run' })
+})
+
+t.test('an instance that is a holder handles requests itself', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.setHolders([FIRST, SELF])
+  harness.request(READ)
+  t.equal(harness.lastSent().to, SELF)
+})
+
+t.test('an instance without a freshness lease accepts nothing', async (t) => {
+  const harness = createDispatcherHarness()
+  harness.freshness.write({ provenAt: milliseconds(0), validUntil: milliseconds(1000), leaderTerm: 1 })
+  t.same(outcomeOf(harness, harness.request(READ)), { name: 'notFresh', outcome: 'not-run' })
+})
+
+t.test('a request whose caller is gone is cancelled at its holder', async (t) => {
+  const harness = createDispatcherHarness()
+  const id = harness.request(WRITE)
+  harness.send({ kind: 'caller-lost', requestId: requestId(id) })
+  t.same(harness.cancelled, [harness.lastSent().message.requestId])
+  t.same(outcomeOf(harness, id)?.valueOf(), { name: 'deadlineExceeded', outcome: 'unknown' })
+  harness.send({ kind: 'peer-lost', instance: instanceId('nobody') })
+  t.equal(harness.outcomes.get(id)?.length, 1)
+})
