--- a/test/decisions/execution/executor-harness.ts
+++ b/test/decisions/execution/executor-harness.ts
@@ -7,7 +7,7 @@
 import type { DatabaseStatus } from '../../../src/types/database-status.js'
 import type { DirectoryDatabase, DirectoryGroup } from '../../../src/types/directory.js'
 import type { ExecutorEffect, ExecutorMessage } from '../../../src/types/executor-message.js'
-import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId, keyId, requestId, resourceId, workspaceId, type ConnectionId, type DatabaseId, type ResourceId, type TransactionId } from '../../../src/types/ids.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId, keyId, requestId, resourceId, transactionId, workspaceId, type ConnectionId, type DatabaseId, type ResourceId, type TransactionId } from '../../../src/types/ids.js'
 import type { Manifest } from '../../../src/types/manifest.js'
 import type { Outcome } from '../../../src/types/outcome.js'
 import type { Execute, Operation } from '../../../src/types/peer-message.js'
@@ -193,6 +193,13 @@
     return outcome.transaction
   }
 
+  /** Runs a statement of the transaction that began last. */
+  function useTransaction (): void {
+    const transaction = transactionId(`${SELF}.r${randomNumber}`)
+    execute({ kind: 'transaction-statement', transaction, statement: 'select 3', values: [] })
+    finish(lastRun().connection)
+  }
+
   manifest.write({ version: 1, manifest: manifestWith([KEY]) })
   writeDirectory()
   freshness.write({ provenAt: now, validUntil: milliseconds(LONG), leaderTerm: 1 })
@@ -214,6 +221,7 @@
     execute,
     request,
     begin,
+    useTransaction,
     advance,
     openConnections,
     runs,
--- a/test/decisions/execution/group-executor.test.ts
+++ b/test/decisions/execution/group-executor.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import type { CreateRequestQueue, RequestQueueOptions } from '../../../src/decisions/execution/request-queue.js'
 import type { OperationFailed } from '../../../src/types/database-operation.js'
 import type { Operation } from '../../../src/types/peer-message.js'
 import type { ResultName } from '../../../src/types/result-code.js'
@@ -62,6 +63,8 @@
     harness.setShare({ slots: 0, connections: 2 })
     const id = harness.execute(WRITE)
     change(harness)
+    harness.tick()
+    t.ok(harness.answers.has(id), 'it is refused at once, although no slot is free')
     harness.setShare({ slots: 2, connections: 2 })
     harness.tick()
     t.same(refusal(harness, id), { name: expected, outcome: 'not-run' })
@@ -113,3 +116,16 @@
     t.equal(harness.isClosed(connection), closes)
   })
 }
+
+t.test('slot time beyond the expected one is charged to the workspace that used it', async (t) => {
+  const charges: number[] = []
+  const createQueue: CreateRequestQueue = <Item>(options: RequestQueueOptions) => {
+    const queue = createSimpleQueue<Item>(options)
+    return { ...queue, charge: (_workspace, usedMs) => { charges.push(usedMs) } }
+  }
+  const harness = createExecutorHarness({ createQueue })
+  harness.execute(READ)
+  harness.advance(100)
+  harness.finish(harness.lastRun().connection)
+  t.same(charges, [99])
+})
--- a/test/decisions/execution/transactions.test.ts
+++ b/test/decisions/execution/transactions.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { milliseconds } from '../../../src/types/clock.js'
 import type { CreateRequestQueue, RequestQueueOptions } from '../../../src/decisions/execution/request-queue.js'
 import { workspaceId } from '../../../src/types/ids.js'
 import { createExecutorHarness, manifestWith, WRITE, BEGIN, AT, failed, refusal, isSuccess, type ExecutorHarness } from './executor-harness.js'
@@ -61,6 +62,7 @@
   { fault: 'its requester is lost', change: (harness) => harness.send({ kind: 'requester-lost', from: 'peer' }) },
   { fault: 'the term changes', change: (harness) => harness.setGroup({ term: 2, phase: 'electing' }) },
   { fault: 'it is idle for too long', change: (harness) => harness.advance(10_000) },
+  { fault: 'it was open for 60 s, although it was used', change: (harness) => { for (let count = 0; count < 12; count++) { harness.useTransaction(); harness.advance(5000) } } },
   { fault: 'the connection share runs out', change: (harness) => harness.setShare({ slots: 2, connections: 6 }, 1) }
 ]
 
@@ -106,3 +108,27 @@
   harness.finish(harness.lastRun().connection)
   t.equal(charges.reduce((sum, charge) => sum + charge, 0), 400)
 })
+
+t.test('a statement that finds no slot before its deadline is not run, and the transaction stays open', async (t) => {
+  const harness = createExecutorHarness()
+  const transaction = harness.begin()
+  harness.setShare({ slots: 0, connections: 6 })
+  const id = harness.execute({ kind: 'transaction-statement', transaction, statement: 'update y', values: [] })
+  harness.advance(1000)
+  t.same(refusal(harness, id), { name: 'deadlineExceeded', outcome: 'not-run' })
+  harness.setShare({ slots: 1, connections: 6 })
+  harness.execute({ kind: 'commit', transaction })
+  t.equal(harness.lastRun().operation.kind, 'commit')
+})
+
+t.test('no statement of a transaction is sent while the instance has no freshness lease', async (t) => {
+  const harness = createExecutorHarness()
+  const transaction = harness.begin()
+  const setLease = (validUntil: number): void => harness.freshness.write({ provenAt: milliseconds(0), validUntil: milliseconds(validUntil), leaderTerm: 1 })
+  setLease(1)
+  const refused = harness.execute({ kind: 'commit', transaction })
+  t.same(refusal(harness, refused), { name: 'notFresh', outcome: 'not-run' })
+  setLease(1e9)
+  harness.execute({ kind: 'commit', transaction })
+  t.equal(harness.lastRun().operation.kind, 'commit')
+})
