ws: authenticated message channels between our processes

Messages that arrive between the handshake and the first listener are kept in an inbox: ws may deliver several frames of one packet before the handshake's promise continues, and they would be lost.

--- /dev/null
+++ b/src/adapters/ws/message-server.ts
@@ -0,0 +1,82 @@
+import { createServer as createPlainServer } from 'node:http'
+import { createServer as createTlsServer } from 'node:https'
+import type { Server as TlsServer } from 'node:https'
+import type { Socket } from 'node:net'
+import { WebSocketServer } from 'ws'
+import type { WebSocket } from 'ws'
+import { acceptHandshake } from './handshake.js'
+import { createInbox } from './inbox.js'
+import type { MessageChannel } from './message-channel.js'
+import { createMessageChannel } from './message-channel.js'
+import type { TlsFiles } from './tls-files.js'
+import { readTlsFiles } from './tls-files.js'
+
+/** Largest message between our processes in bytes; a manifest of a large deployment fits. */
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+export interface MessageServerOptions {
+  host: string
+  port: number
+  clusterSecret: string
+  tls: TlsFiles | null
+  /** Called for each connection that passed the handshake. */
+  onChannel: (channel: MessageChannel) => void
+}
+
+export interface MessageServer {
+  /** Port in use; differs from the option when that was 0. */
+  readonly port: number
+  /** Reads the key files again; open connections stay. */
+  reloadTls: () => void
+  /** Stops listening and ends all connections. */
+  close: () => Promise<void>
+}
+
+/**
+ * Listens for connections of our own processes.
+ * @throws Error when the address can't be used
+ */
+export async function listenForMessages (options: MessageServerOptions): Promise<MessageServer> {
+  const { tls } = options
+  const server = tls === null ? createPlainServer() : createTlsServer({ ...readTlsFiles(tls), requestCert: true, rejectUnauthorized: true })
+  const sockets = new Set<Socket>()
+  const webSockets = new WebSocketServer({ server, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+
+  async function accept (socket: WebSocket): Promise<void> {
+    socket.on('error', () => { socket.terminate() })
+    const inbox = createInbox(socket)
+    try {
+      const hello = await acceptHandshake(socket, inbox, options.clusterSecret)
+      options.onChannel(createMessageChannel(socket, inbox, hello))
+    } catch {
+      socket.terminate()
+    }
+  }
+
+  webSockets.on('connection', (socket) => { accept(socket) })
+  server.on('connection', (socket: Socket) => {
+    socket.setNoDelay(true)
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    webSockets.on('error', reject)
+    server.listen(options.port, options.host, resolve)
+  })
+  const address = server.address()
+
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : options.port,
+    reloadTls: () => {
+      if (tls !== null) (server as TlsServer).setSecureContext(readTlsFiles(tls))
+    },
+    close: async () => {
+      for (const socket of webSockets.clients) socket.terminate()
+      await new Promise<void>((resolve) => {
+        server.close(() => { resolve() })
+        for (const socket of sockets) socket.destroy()
+      })
+    }
+  }
+}
--- /dev/null
+++ b/test/adapters/ws/message-server.test.ts
@@ -0,0 +1,47 @@
+import t from 'tap'
+import type { Test } from 'tap'
+import { dialChannel } from '../../../src/adapters/ws/dial-channel.js'
+import type { MessageChannel } from '../../../src/adapters/ws/message-channel.js'
+import { listenForMessages } from '../../../src/adapters/ws/message-server.js'
+
+const hello = { purpose: 'peer', name: 'entry-1', address: '127.0.0.1:1' } as const
+
+async function startServer (t: Test, onChannel: (channel: MessageChannel) => void): Promise<string> {
+  const server = await listenForMessages({ host: '127.0.0.1', port: 0, clusterSecret: 'right secret', tls: null, onChannel })
+  t.teardown(() => server.close())
+  return `127.0.0.1:${server.port}`
+}
+
+t.test('messages sent by the server right after the handshake are not lost', async (t) => {
+  const address = await startServer(t, (channel) => {
+    channel.send({ first: 1 })
+    channel.send({ second: 2 })
+  })
+  const channel = (await dialChannel({ address, hello, clusterSecret: 'right secret', tls: null }))._unsafeUnwrap()
+  t.teardown(() => { channel.close() })
+  const received: unknown[] = []
+  await new Promise<void>((resolve) => {
+    channel.onMessage((message) => {
+      received.push(message)
+      if (received.length === 2) resolve()
+    })
+  })
+  t.same(received, [{ first: 1 }, { second: 2 }])
+})
+
+t.test('a process without the cluster secret gets no channel', async (t) => {
+  let channels = 0
+  const address = await startServer(t, () => { channels++ })
+  const dialed = await dialChannel({ address, hello, clusterSecret: 'wrong secret', tls: null })
+  t.ok(dialed.isErr())
+  t.equal(channels, 0)
+})
+
+t.test('the end of a channel reaches the other side once', async (t) => {
+  const ended = new Promise<string>((resolve) => {
+    startServer(t, (channel) => { channel.onEnd(() => { resolve(channel.hello.name) }) })
+      .then((address) => dialChannel({ address, hello, clusterSecret: 'right secret', tls: null }))
+      .then((channel) => { channel._unsafeUnwrap().close() })
+  })
+  t.equal(await ended, 'entry-1')
+})
