--- /dev/null
+++ b/src/adapters/http/caller-server.ts
@@ -0,0 +1,140 @@
+import { readFileSync } from 'node:fs'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { fastify } from 'fastify'
+import type { Result } from 'neverthrow'
+import type { CallerOperation, ServeCaller, CallerAnswer } from '../../types/caller-request.js'
+import type { Announcement } from '../../types/database-status.js'
+import type { LogEvent } from '../../types/log-event.js'
+import type { Refusal } from '../../types/outcome.js'
+import { refuse } from '../../types/result-code.js'
+import { transactionId } from '../../types/ids.js'
+import { announcementSchema } from './announcement-schema.js'
+import { emptyBody, parseBody, parseCallerRequest, routeBody, statementBody, transactionStatementBody } from './parse-caller-request.js'
+import { refuseUnmatched } from './refuse-unmatched.js'
+import { secretsMatch } from './secrets-match.js'
+import { sendOutcome, sendRefusal } from './send-outcome.js'
+
+export interface CallerServerOptions {
+  host: string
+  port: number
+  tls: { keyFile: string, certificateFile: string } | null
+  /** Largest request body in bytes. */
+  bodyBytes: number
+  /** Most headers of a request. */
+  headerCount: number
+  /** Time to send all headers in milliseconds. */
+  headersMs: number
+  /** Time that a connection may stay idle in milliseconds. */
+  idleConnectionMs: number
+  announcementSecret: string
+  serve: ServeCaller
+  /** @returns the session token for the position of a success */
+  encodeSession: (answer: CallerAnswer) => string | null
+  announce: (announcement: Announcement) => void
+  logEvent: LogEvent
+}
+
+export interface CallerServer {
+  readonly port: number
+  /** Reads the key files again; open connections stay. */
+  reloadTls: () => void
+  /** Stops listening, lets running requests finish and ends idle connections. */
+  close: () => Promise<void>
+}
+
+type ParsedOperation = Result<CallerOperation, Refusal>
+
+function readPair (tls: { keyFile: string, certificateFile: string }): { key: Buffer, cert: Buffer } {
+  return { key: readFileSync(tls.keyFile), cert: readFileSync(tls.certificateFile) }
+}
+
+function createApp (options: CallerServerOptions): FastifyInstance {
+  const app = fastify({
+    ...(options.tls === null ? {} : { https: readPair(options.tls) }),
+    bodyLimit: options.bodyBytes,
+    keepAliveTimeout: options.idleConnectionMs,
+    requestTimeout: options.headersMs,
+    forceCloseConnections: 'idle',
+    // A request that arrives on an open connection during shutdown is served, not refused.
+    return503OnClosing: false,
+    exposeHeadRoutes: false
+  }) as FastifyInstance
+  app.server.maxHeadersCount = options.headerCount
+  app.server.headersTimeout = options.headersMs
+  return app
+}
+
+/**
+ * Serves callers over HTTP and takes announcements of databases.
+ * @throws Error when the address can't be used
+ */
+export async function listenForCallers (options: CallerServerOptions): Promise<CallerServer> {
+  const app = createApp(options)
+
+  async function serve (request: FastifyRequest, reply: FastifyReply, operation: ParsedOperation): Promise<FastifyReply> {
+    if (operation.isErr()) return sendRefusal(reply, operation.error)
+    const parsed = parseCallerRequest(request.headers, operation.value)
+    if (parsed.isErr()) return sendRefusal(reply, parsed.error)
+    const gone = new AbortController()
+    request.raw.socket.once('close', abort)
+    function abort (): void {
+      gone.abort()
+    }
+    try {
+      const answer = await options.serve(parsed.value, gone.signal)
+      return sendOutcome(reply, answer.outcome, options.encodeSession(answer))
+    } finally {
+      request.raw.socket.off('close', abort)
+    }
+  }
+
+  app.post('/v1/statements', async (request, reply) => {
+    const operation = parseBody(statementBody, request.body).map((body): CallerOperation => ({ kind: 'statement', ...body }))
+    return await serve(request, reply, operation)
+  })
+  app.post('/v1/transactions', async (request, reply) => {
+    const operation = parseBody(emptyBody, request.body).map((): CallerOperation => ({ kind: 'begin' }))
+    return await serve(request, reply, operation)
+  })
+  app.post<{ Params: { id: string } }>('/v1/transactions/:id/statements', async (request, reply) => {
+    const transaction = transactionId(request.params.id)
+    const operation = parseBody(transactionStatementBody, request.body).map((body): CallerOperation => ({ kind: 'transaction-statement', transaction, ...body }))
+    return await serve(request, reply, operation)
+  })
+  app.post<{ Params: { id: string } }>('/v1/transactions/:id/commit', async (request, reply) => {
+    const transaction = transactionId(request.params.id)
+    return await serve(request, reply, parseBody(emptyBody, request.body).map((): CallerOperation => ({ kind: 'commit', transaction })))
+  })
+  app.post<{ Params: { id: string } }>('/v1/transactions/:id/rollback', async (request, reply) => {
+    const transaction = transactionId(request.params.id)
+    return await serve(request, reply, parseBody(emptyBody, request.body).map((): CallerOperation => ({ kind: 'rollback', transaction })))
+  })
+  app.route<{ Params: { name: string } }>({
+    method: ['GET', 'POST'],
+    url: '/v1/routes/:name',
+    handler: async (request, reply) => {
+      const { name } = request.params
+      return await serve(request, reply, parseBody(routeBody, request.body).map(({ values }): CallerOperation => ({ kind: 'route', name, values })))
+    }
+  })
+  app.post('/v1/announcements', async (request, reply) => {
+    if (!secretsMatch(request.headers.authorization, options.announcementSecret)) {
+      return sendRefusal(reply, refuse('announcementRefused', 'not-run', 'the announcement secret is missing or wrong'))
+    }
+    const parsed = parseBody(announcementSchema, request.body)
+    if (parsed.isErr()) return sendRefusal(reply, parsed.error)
+    options.announce(parsed.value)
+    return reply.code(204).send()
+  })
+  refuseUnmatched(app, options.logEvent)
+
+  await app.listen({ host: options.host, port: options.port })
+  const listening = app.server.address()
+  return {
+    port: typeof listening === 'object' && listening !== null ? listening.port : options.port,
+    reloadTls: () => {
+      if (options.tls !== null && 'setSecureContext' in app.server) (app.server as { setSecureContext: (pair: unknown) => void }).setSecureContext(readPair(options.tls))
+    },
+    close: async () => { await app.close() }
+  }
+}
--- /dev/null
+++ b/src/adapters/http/refuse-unmatched.ts
@@ -0,0 +1,35 @@
+import type { FastifyError, FastifyInstance, HTTPMethods } from 'fastify'
+import type { LogEvent } from '../../types/log-event.js'
+import { refuse } from '../../types/result-code.js'
+import { sendRefusal } from './send-outcome.js'
+
+const METHODS: HTTPMethods[] = ['GET', 'POST', 'PUT', 'DELETE', 'PATCH']
+
+/** Answers unknown paths, wrong methods, bad bodies and unexpected errors with numbered codes. */
+export function refuseUnmatched (app: FastifyInstance, logEvent: LogEvent): void {
+  app.setNotFoundHandler((request, reply) => {
+    const path = request.url.split('?')[0] ?? ''
+    const allowed = METHODS.filter((method) => app.findRoute({ method, url: path }) !== null || matchesParameters(app, method, path))
+    if (allowed.length === 0) return sendRefusal(reply, refuse('unknownPath', 'not-run', `there is no path ${path}`))
+    reply.header('allow', allowed.join(', '))
+    return sendRefusal(reply, refuse('methodNotAllowed', 'not-run', `${path} takes ${allowed.join(', ')}`))
+  })
+  app.setErrorHandler((error: FastifyError, request, reply) => {
+    if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') return sendRefusal(reply, refuse('bodyTooLarge', 'not-run', 'the body is larger than the limit'))
+    if (error.statusCode !== undefined && error.statusCode < 500) return sendRefusal(reply, refuse('malformedRequest', 'not-run', error.message))
+    logEvent('requestFailed', { path: request.routeOptions.url ?? '', message: error.message })
+    return sendRefusal(reply, refuse('internalError', 'unknown', 'the instance failed while it handled the request'))
+  })
+}
+
+/** Whether a path with its parameters filled in has a route for the method. */
+function matchesParameters (app: FastifyInstance, method: HTTPMethods, path: string): boolean {
+  const patterns = [
+    [/^\/v1\/transactions\/[^/]+\/(statements|commit|rollback)$/, (match: RegExpExecArray) => `/v1/transactions/:id/${match[1]}`],
+    [/^\/v1\/routes\/[^/]+$/, () => '/v1/routes/:name']
+  ] as const
+  return patterns.some(([pattern, urlOf]) => {
+    const match = pattern.exec(path)
+    return match !== null && app.findRoute({ method, url: urlOf(match) }) !== null
+  })
+}
--- /dev/null
+++ b/src/adapters/http/send-outcome.ts
@@ -0,0 +1,25 @@
+import type { FastifyReply } from 'fastify'
+import type { Outcome, Refusal } from '../../types/outcome.js'
+import { resultCodeEntry } from '../../types/result-code.js'
+
+const MS_PER_SECOND = 1000
+
+/** Sends a refusal with its numbered code. */
+export function sendRefusal (reply: FastifyReply, refusal: Refusal): FastifyReply {
+  const { code, outcome, message, retryAfterMs } = refusal
+  const entry = resultCodeEntry(code)
+  if (retryAfterMs !== null) reply.header('retry-after', Math.ceil(retryAfterMs / MS_PER_SECOND))
+  return reply.code(entry.status).send({ code, name: entry.name, outcome, message, retryAfterMs })
+}
+
+/**
+ * Sends the outcome of a request.
+ * @param sessionToken - token of the session after this request; null when nothing was learned
+ */
+export function sendOutcome (reply: FastifyReply, outcome: Outcome, sessionToken: string | null): FastifyReply {
+  if (outcome.kind === 'refusal') return sendRefusal(reply, outcome)
+  if (sessionToken !== null) reply.header('catkinrelay-session', sessionToken)
+  if (outcome.role !== null) reply.header('catkinrelay-served-by', outcome.role)
+  const { rows, rowCount, transaction } = outcome
+  return reply.send(transaction === null ? { rows, rowCount } : { rows, rowCount, transaction })
+}
--- /dev/null
+++ b/src/adapters/logs/create-logger.ts
@@ -0,0 +1,27 @@
+import log from 'loglevel'
+import type { LogDetails, LogEvent, LogEventName, LogLevel } from '../../types/log-event.js'
+import { logEvents } from '../../types/log-event.js'
+
+export interface LoggerOptions {
+  /** Name of the instance, written in each line. */
+  instance: string
+  level: LogLevel
+  /** Takes each finished line. Default: standard error. */
+  write?: (line: string) => void
+  /** @returns time of day; default: the machine's clock */
+  timeOfDay?: () => Date
+}
+
+/** @returns a function that writes numbered events as JSON lines */
+export function createLogger (options: LoggerOptions): LogEvent {
+  const write = options.write ?? ((line) => { process.stderr.write(line + '\n') })
+  const timeOfDay = options.timeOfDay ?? (() => new Date())
+  const logger = log.getLogger(`catkinrelay ${options.instance}`)
+  logger.methodFactory = () => (line: string) => { write(line) }
+  logger.setLevel(options.level, false)
+
+  return (name: LogEventName, details: LogDetails = {}) => {
+    const { event, level } = logEvents[name]
+    logger[level](JSON.stringify({ time: timeOfDay().toISOString(), level, event, name, instance: options.instance, ...details }))
+  }
+}
--- /dev/null
+++ b/src/decisions/admission/authorize.ts
@@ -0,0 +1,62 @@
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import type { GroupId, KeyId, WorkspaceId } from '../../types/ids.js'
+import type { Manifest, Route, Workspace } from '../../types/manifest.js'
+import type { CallerOperation } from '../../types/caller-request.js'
+import type { Operation } from '../../types/peer-message.js'
+import type { Refusal } from '../../types/outcome.js'
+import { refuse } from '../../types/result-code.js'
+
+/** A request that may run. */
+export interface Authorized {
+  workspace: WorkspaceId
+  group: GroupId
+  /** Null on a route open to all. */
+  keyId: KeyId | null
+  operation: Operation
+}
+
+/** Look-ups of one manifest version, built once when the version comes into force. */
+export interface ManifestIndex {
+  readonly workspacesByDigest: ReadonlyMap<string, { workspace: Workspace, keyId: KeyId }>
+  readonly workspaces: ReadonlyMap<WorkspaceId, Workspace>
+  readonly routes: ReadonlyMap<string, Route>
+}
+
+export function indexManifest (manifest: Manifest): ManifestIndex {
+  const keys = manifest.workspaces.flatMap((workspace) => workspace.keys.map((key) => [key.digest, { workspace, keyId: key.id }] as const))
+  return {
+    workspacesByDigest: new Map(keys),
+    workspaces: new Map(manifest.workspaces.map((workspace) => [workspace.id, workspace])),
+    routes: new Map(manifest.routes.map((route) => [route.name, route]))
+  }
+}
+
+/**
+ * Decides for which workspace a request runs.
+ * @param index - look-ups of the manifest in force
+ * @param keyDigest - SHA-256 of the request's key; null when it has none
+ * @param operation - what the caller asks for
+ * @returns the workspace and operation, or a refusal: the key is missing or refused, or the route unknown
+ */
+export function authorize (index: ManifestIndex, keyDigest: string | null, operation: CallerOperation): Result<Authorized, Refusal> {
+  if (operation.kind === 'route') return authorizeRoute(index, keyDigest, operation.name, operation.values)
+  if (keyDigest === null) return err(refuse('keyMissing', 'not-run', 'the request carries no key'))
+  const known = index.workspacesByDigest.get(keyDigest)
+  if (known === undefined) return err(refuse('keyRefused', 'not-run', 'the key is unknown or withdrawn'))
+  return ok({ workspace: known.workspace.id, group: known.workspace.group, keyId: known.keyId, operation })
+}
+
+function authorizeRoute (index: ManifestIndex, keyDigest: string | null, name: string, values: Extract<CallerOperation, { kind: 'route' }>['values']): Result<Authorized, Refusal> {
+  const route = index.routes.get(name)
+  if (route === undefined) return err(refuse('unknownRoute', 'not-run', `the manifest declares no route ${name}`))
+  const operation: Operation = { kind: 'statement', statement: route.statement, values, access: route.access }
+  const workspace = index.workspaces.get(route.workspace)
+  if (workspace === undefined) return err(refuse('unknownRoute', 'not-run', `route ${name} has no workspace`))
+  if (route.open) return ok({ workspace: workspace.id, group: workspace.group, keyId: null, operation })
+  if (keyDigest === null) return err(refuse('keyMissing', 'not-run', `route ${name} needs a key`))
+  const known = index.workspacesByDigest.get(keyDigest)
+  // A key of another workspace is answered like an unknown one, so that it reveals nothing about the route.
+  if (known === undefined || known.workspace.id !== route.workspace) return err(refuse('keyRefused', 'not-run', 'the key is unknown, withdrawn or of another workspace'))
+  return ok({ workspace: workspace.id, group: workspace.group, keyId: known.keyId, operation })
+}
--- /dev/null
+++ b/src/settings/manifest-schema.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod'
+import { failureDomainId, groupId, keyId, workspaceId } from '../types/ids.js'
+
+/** Names appear in settings of databases, log events and reports, so they stay plain. */
+const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens, beginning with a letter')
+
+const keyEntry = z.strictObject({
+  id: name.transform(keyId).describe('Public name of the key; appears in logs.'),
+  digest: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 lower-case hexadecimal digits').describe('SHA-256 of the key, as printed by `catkinrelay key new`.')
+})
+
+const objectives = z.strictObject({
+  availability: z.number().gt(0).lt(1).describe('Share of requests that must succeed.'),
+  latencyMs: z.number().positive().describe('99th percentile of answer times in milliseconds.'),
+  stalenessMs: z.number().positive().describe('Oldest data that a read may return in milliseconds.')
+})
+
+const workspace = z.strictObject({
+  id: name.transform(workspaceId),
+  group: name.transform(groupId).describe('Database group that holds the data of the workspace.'),
+  rate: z.number().positive().describe('Requests per second over all instances together.'),
+  burst: z.number().min(1).describe('Requests that may come at once over all instances together.'),
+  weight: z.number().positive().default(1).describe('Weight in fair queueing; default 1.'),
+  keys: z.array(keyEntry).describe('Keys in force; a key that is taken out of the list is withdrawn.'),
+  objectives: objectives.optional().describe('Objectives of the service-level burn report.')
+})
+
+const group = z.strictObject({
+  id: name.transform(groupId),
+  slots: z.int().min(1).describe('Statements that each database runs at a time.'),
+  connections: z.int().min(4).describe('Connections that each database accepts from catkinrelay.')
+})
+
+const route = z.strictObject({
+  name,
+  workspace: name.transform(workspaceId),
+  statement: z.string().min(1).describe('SQL statement with numbered parameters.'),
+  access: z.enum(['read', 'write']),
+  open: z.boolean().default(false).describe('Whether the route needs no key; default false.')
+})
+
+const failureDomain = z.strictObject({
+  id: name.transform(failureDomainId),
+  state: z.enum(['in', 'out']).default('in').describe('`out`: gets no new work; default `in`.')
+})
+
+/** Shape of a manifest; `checkManifest` adds the checks across fields. */
+export const manifestSchema = z.strictObject({
+  formatVersion: z.literal(1),
+  failureDomains: z.array(failureDomain).min(1),
+  groups: z.array(group).min(1),
+  workspaces: z.array(workspace),
+  routes: z.array(route).default([])
+})
--- a/src/types/control-message.ts
+++ b/src/types/control-message.ts
@@ -77,5 +77,11 @@
   announcement: Announcement
 }
 
+/** Asks for a heartbeat at once, because shares or the directory changed. */
+export interface HeartbeatRequest {
+  version: 1
+  kind: 'heartbeat-request'
+}
+
 export type EntryToControl = Heartbeat | AnnouncementMessage
-export type ControlToEntry = HeartbeatAnswer | ManifestMessage | DirectoryMessage | NotLeader
+export type ControlToEntry = HeartbeatAnswer | ManifestMessage | DirectoryMessage | NotLeader | HeartbeatRequest
--- /dev/null
+++ b/src/utils/content-digest.ts
@@ -0,0 +1,15 @@
+import { createHash } from 'node:crypto'
+
+/** @returns the value with the fields of every object in alphabetic order */
+function sortFields (value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sortFields)
+  if (typeof value !== 'object' || value === null) return value
+  const entries = Object.entries(value).filter(([, field]) => field !== undefined)
+  entries.sort(([left], [right]) => left < right ? -1 : 1)
+  return Object.fromEntries(entries.map(([name, field]) => [name, sortFields(field)]))
+}
+
+/** @returns SHA-256 of a JSON value as 64 hexadecimal digits; the order of fields does not matter */
+export function contentDigest (value: unknown): string {
+  return createHash('sha256').update(JSON.stringify(sortFields(value))).digest('hex')
+}
