--- /dev/null
+++ b/src/adapters/metrics/create-metrics.ts
@@ -0,0 +1,63 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { RunState } from '../../types/outcome.js'
+
+/** Workspaces beyond this number share the label `other`, so that the label set stays bounded. */
+const MAX_WORKSPACE_LABELS = 100
+const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5]
+const MS_PER_SECOND = 1000
+
+/** One finished request. */
+export interface RequestSample {
+  workspace: string | null
+  /** 0 for a success. */
+  code: number
+  outcome: RunState
+  /** Role of the database that answered. */
+  servedBy: 'primary' | 'replica' | null
+  durationMs: number
+}
+
+export interface Metrics {
+  observeRequest: (sample: RequestSample) => void
+  /** Sets values that are read rather than counted. */
+  setGauge: (name: GaugeName, value: number) => void
+  /** @returns the text that a metrics scraper reads, and its content type */
+  render: () => Promise<{ contentType: string, text: string }>
+}
+
+const gaugeTexts = {
+  manifest_version: 'Version of the manifest in force',
+  fresh: '1 while the freshness lease holds',
+  active_requests: 'Requests and transactions that this instance executes as holder',
+  peer_channels: 'Open channels to other instances'
+} as const
+
+export type GaugeName = keyof typeof gaugeTexts
+
+/** @returns metrics of one instance in a registry of their own */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry })
+  const registers = [registry]
+  const requests = new Counter({ name: 'catkinrelay_requests_total', help: 'Requests by workspace, result code and run state', labelNames: ['workspace', 'code', 'outcome', 'served_by'], registers })
+  const latency = new Histogram({ name: 'catkinrelay_request_seconds', help: 'Duration of requests', labelNames: ['outcome'], buckets: LATENCY_BUCKETS_SECONDS, registers })
+  const gauges = new Map(Object.entries(gaugeTexts).map(([name, help]) => [name, new Gauge({ name: `catkinrelay_${name}`, help, registers })]))
+  const labels = new Set<string>()
+
+  function labelOf (workspace: string | null): string {
+    if (workspace === null) return 'none'
+    if (labels.has(workspace)) return workspace
+    if (labels.size >= MAX_WORKSPACE_LABELS) return 'other'
+    labels.add(workspace)
+    return workspace
+  }
+
+  return {
+    observeRequest: ({ workspace, code, outcome, servedBy, durationMs }) => {
+      requests.inc({ workspace: labelOf(workspace), code: String(code), outcome, served_by: servedBy ?? 'none' })
+      latency.observe({ outcome }, durationMs / MS_PER_SECOND)
+    },
+    setGauge: (name, value) => { gauges.get(name)?.set(value) },
+    render: async () => ({ contentType: registry.contentType, text: await registry.metrics() })
+  }
+}
