--- /dev/null
+++ b/test/docs/tables.test.ts
@@ -0,0 +1,21 @@
+import { readFileSync } from 'node:fs'
+import t from 'tap'
+import { eventPage } from '../../src/reports/event-page.js'
+import { resultCodePage } from '../../src/reports/result-code-page.js'
+import { logEvents } from '../../src/types/log-event.js'
+import { resultCodes } from '../../src/types/result-code.js'
+
+t.test('docs/result-codes.md is generated from the code, so that it can not fall behind', async (t) => {
+  t.equal(readFileSync('docs/result-codes.md', 'utf8'), resultCodePage())
+})
+
+t.test('docs/events.md is generated from the code, so that it can not fall behind', async (t) => {
+  t.equal(readFileSync('docs/events.md', 'utf8'), eventPage())
+})
+
+t.test('no number stands for two results or two events', async (t) => {
+  const codes = Object.values(resultCodes).map((entry) => entry.code)
+  const events = Object.values(logEvents).map((entry) => entry.event)
+  t.equal(new Set(codes).size, codes.length)
+  t.equal(new Set(events).size, events.length)
+})
