--- /dev/null
+++ b/src/entry/control-link.ts
@@ -0,0 +1,99 @@
+import { dialChannel } from '../adapters/ws/dial-channel.js'
+import type { Hello, MessageChannel } from '../adapters/ws/message-channel.js'
+import type { TlsFiles } from '../adapters/ws/tls-files.js'
+import type { AttachmentEffect, AttachmentMessage } from '../decisions/freshness/control-attachment.js'
+import type { ControlToEntry } from '../types/control-message.js'
+import type { Controller } from '../types/controller.js'
+import type { Address } from '../types/ids.js'
+
+export interface ControlLinkOptions {
+  attachment: Controller<AttachmentMessage, AttachmentEffect>
+  hello: Hello
+  clusterSecret: string
+  tls: TlsFiles | null
+}
+
+/** Carries out the effects of the control attachment. */
+export interface ControlLink {
+  handle: (message: AttachmentMessage) => void
+  tick: () => void
+  /** @returns bytes of control messages so far, both directions */
+  byteCount: () => number
+  close: () => void
+}
+
+export function createControlLink (options: ControlLinkOptions): ControlLink {
+  const { attachment, hello, clusterSecret, tls } = options
+  let channel: MessageChannel | null = null
+  // Counts dials, so that the result of one that was given up is ignored.
+  let dialNumber = 0
+  let formerBytes = 0
+  let closed = false
+
+  function countBytes (ended: MessageChannel): void {
+    const { sent, received } = ended.byteCounts()
+    formerBytes += sent + received
+  }
+
+  async function dial (address: Address): Promise<void> {
+    const number = ++dialNumber
+    const dialed = await dialChannel({ address, hello, clusterSecret, tls })
+    if (number !== dialNumber || closed) {
+      if (dialed.isOk()) dialed.value.close()
+      return
+    }
+    if (dialed.isErr()) {
+      handle({ kind: 'disconnected' })
+      return
+    }
+    attach(dialed.value, number)
+  }
+
+  function attach (opened: MessageChannel, number: number): void {
+    channel = opened
+    opened.onMessage((message) => {
+      if (number === dialNumber) handle({ kind: 'received', message: message as ControlToEntry })
+    })
+    opened.onEnd(() => {
+      countBytes(opened)
+      if (number !== dialNumber || closed) return
+      channel = null
+      handle({ kind: 'disconnected' })
+    })
+    handle({ kind: 'connected' })
+  }
+
+  function hangUp (): void {
+    dialNumber++
+    const ended = channel
+    channel = null
+    ended?.close()
+  }
+
+  function carryOut (effects: AttachmentEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'dial') dial(effect.address)
+      if (effect.kind === 'hang-up') hangUp()
+      if (effect.kind === 'send') channel?.send(effect.message)
+    }
+  }
+
+  function handle (message: AttachmentMessage): void {
+    if (!closed) carryOut(attachment.handle(message))
+  }
+
+  return {
+    handle,
+    tick: () => {
+      if (!closed) carryOut(attachment.tick())
+    },
+    byteCount: () => {
+      const open = channel?.byteCounts() ?? { sent: 0, received: 0 }
+      return formerBytes + open.sent + open.received
+    },
+    close: () => {
+      closed = true
+      hangUp()
+    }
+  }
+}
