--- /dev/null
+++ b/src/types/control-summary.ts
@@ -0,0 +1,52 @@
+import type { DatabaseId, FailureDomainId, GroupId, InstanceId } from './ids.js'
+import type { DatabaseRole } from './database-status.js'
+import type { GroupPhase } from './directory.js'
+
+/** An instance as the control leader knows it. */
+export interface InstanceSummary {
+  instance: InstanceId
+  failureDomain: FailureDomainId
+  draining: boolean
+  /** Manifest version of its last heartbeat. */
+  manifestVersion: number
+  /** Milliseconds since the heartbeat that proved it. */
+  provenMsAgo: number
+}
+
+/** Last change of primary of a group. */
+export interface FailoverSummary {
+  planned: boolean
+  /** From the last sign of life of the old primary to the commit of the new one, in milliseconds. */
+  gapMs: number
+  endedMsAgo: number
+}
+
+export interface GroupSummary {
+  group: GroupId
+  term: number
+  primary: DatabaseId | null
+  phase: GroupPhase
+  holders: InstanceId[]
+  lastFailover: FailoverSummary | null
+}
+
+export interface DatabaseSummary {
+  database: DatabaseId
+  group: GroupId
+  failureDomain: FailureDomainId
+  role: DatabaseRole
+  departing: boolean
+  /** 0: gets no new work; 1: full share. */
+  weight: number
+  /** Milliseconds since its last sign of life. */
+  silentForMs: number
+}
+
+/** What the control leader knows, for operators' reports. */
+export interface ControlSummary {
+  leaderTerm: number
+  manifestVersion: number
+  instances: InstanceSummary[]
+  groups: GroupSummary[]
+  databases: DatabaseSummary[]
+}
