manifest: state machine of the replicated log

Control members must derive the same manifest and group terms from the log. applyCommand implements compare-and-set commits with recognized resends over the last 4,096 versions, and elections with strictly rising terms.

--- /dev/null
+++ b/src/decisions/manifest/apply-command.ts
@@ -0,0 +1,88 @@
+import type { Command, CommandAnswer, ReplicatedGroup, ReplicatedState } from '../../types/replicated-state.js'
+import type { GroupId } from '../../types/ids.js'
+
+/**
+ * Accepted versions whose digests are remembered. A resend of an older version is refused, as its content can't be compared.
+ * At 1,300 changes a day, 4,096 versions cover three days.
+ */
+export const REMEMBERED_DIGESTS = 4096
+
+export interface AppliedCommand {
+  state: ReplicatedState
+  answer: CommandAnswer
+}
+
+type CommitManifest = Extract<Command, { kind: 'commit-manifest' }>
+type BeginElection = Extract<Command, { kind: 'begin-election' }>
+type SetPrimary = Extract<Command, { kind: 'set-primary' }>
+
+/** @returns the state before the first command */
+export function emptyReplicatedState (): ReplicatedState {
+  return { manifestVersion: 0, manifest: null, acceptedDigests: [], groups: [] }
+}
+
+/**
+ * Applies one committed command. The result depends on nothing but the arguments, so all members derive the same state.
+ * @param state - is not changed
+ * @returns the new state and the answer for the proposer
+ */
+export function applyCommand (state: ReplicatedState, command: Command): AppliedCommand {
+  switch (command.kind) {
+    case 'commit-manifest': return commitManifest(state, command)
+    case 'begin-election': return beginElection(state, command)
+    case 'set-primary': return setPrimary(state, command)
+  }
+}
+
+function commitManifest (state: ReplicatedState, command: CommitManifest): AppliedCommand {
+  if (command.base !== state.manifestVersion) return { state, answer: answerToOtherBase(state, command) }
+  const manifestVersion = command.base + 1
+  const accepted = { version: manifestVersion, digest: command.digest, operator: command.operator }
+  return {
+    state: {
+      ...state,
+      manifestVersion,
+      manifest: command.manifest,
+      acceptedDigests: [...state.acceptedDigests, accepted].slice(-REMEMBERED_DIGESTS)
+    },
+    answer: { kind: 'manifest-accepted', manifestVersion, resent: false }
+  }
+}
+
+function answerToOtherBase (state: ReplicatedState, command: CommitManifest): CommandAnswer {
+  const version = command.base + 1
+  const accepted = state.acceptedDigests.find((entry) => entry.version === version)
+  if (accepted !== undefined && accepted.digest === command.digest) {
+    return { kind: 'manifest-accepted', manifestVersion: version, resent: true }
+  }
+  // The version may not exist yet or be forgotten; the current one is then the best to compare with.
+  const winner = accepted ?? state.acceptedDigests.at(-1)
+  return {
+    kind: 'manifest-conflict',
+    currentVersion: state.manifestVersion,
+    winningDigest: winner?.digest ?? '',
+    winningOperator: winner?.operator ?? ''
+  }
+}
+
+function beginElection (state: ReplicatedState, command: BeginElection): AppliedCommand {
+  const group = groupOf(state, command.group)
+  if (command.term <= group.term) return { state, answer: { kind: 'group-conflict', group } }
+  return changeGroup(state, { group: command.group, term: command.term, primary: null, phase: 'electing' })
+}
+
+function setPrimary (state: ReplicatedState, command: SetPrimary): AppliedCommand {
+  const group = groupOf(state, command.group)
+  if (group.phase !== 'electing' || command.term !== group.term) return { state, answer: { kind: 'group-conflict', group } }
+  return changeGroup(state, { ...group, primary: command.database, phase: 'serving' })
+}
+
+function groupOf (state: ReplicatedState, id: GroupId): ReplicatedGroup {
+  const known = state.groups.find((entry) => entry.group === id)
+  return known ?? { group: id, term: 0, primary: null, phase: 'serving' }
+}
+
+function changeGroup (state: ReplicatedState, group: ReplicatedGroup): AppliedCommand {
+  const others = state.groups.filter((entry) => entry.group !== group.group)
+  return { state: { ...state, groups: [...others, group] }, answer: { kind: 'group-changed', group } }
+}
--- /dev/null
+++ b/test/decisions/manifest/apply-command.test.ts
@@ -0,0 +1,60 @@
+import t from 'tap'
+import { applyCommand, emptyReplicatedState, REMEMBERED_DIGESTS } from '../../../src/decisions/manifest/apply-command.js'
+import { databaseId, groupId } from '../../../src/types/ids.js'
+import type { Command, CommandAnswer, ReplicatedState } from '../../../src/types/replicated-state.js'
+import { manifestCommand } from '../../fixtures/manifest-command.js'
+
+const orders = groupId('orders')
+const first = databaseId('orders-1')
+const begin = (term: number): Command => ({ kind: 'begin-election', group: orders, term })
+const elect = (term: number): Command => ({ kind: 'set-primary', group: orders, term, database: first })
+const conflict = (currentVersion: number, winningDigest: string): CommandAnswer => ({
+  kind: 'manifest-conflict', currentVersion, winningDigest, winningOperator: winningDigest === '' ? '' : `operator of ${winningDigest}`
+})
+const accepted = (manifestVersion: number, resent: boolean): CommandAnswer => ({ kind: 'manifest-accepted', manifestVersion, resent })
+const changed = (term: number, serving: boolean): CommandAnswer => ({
+  kind: 'group-changed', group: { group: orders, term, primary: serving ? first : null, phase: serving ? 'serving' : 'electing' }
+})
+const refused = (term: number, phase: 'serving' | 'electing', primary = first): CommandAnswer => ({
+  kind: 'group-conflict', group: { group: orders, term, primary: phase === 'serving' && term > 0 ? primary : null, phase }
+})
+
+function applyAll (commands: Command[]): { state: ReplicatedState, answers: CommandAnswer[] } {
+  const answers: CommandAnswer[] = []
+  let state = emptyReplicatedState()
+  for (const command of commands) {
+    const applied = applyCommand(state, command)
+    state = applied.state
+    answers.push(applied.answer)
+  }
+  return { state, answers }
+}
+
+const cases: { guards: string, commands: Command[], answers: CommandAnswer[] }[] = [
+  { guards: 'a commit on the current version is accepted as the next one', commands: [manifestCommand(0, 'a'), manifestCommand(1, 'b')], answers: [accepted(1, false), accepted(2, false)] },
+  { guards: 'two operators on one base do not both win', commands: [manifestCommand(0, 'a'), manifestCommand(0, 'b')], answers: [accepted(1, false), conflict(1, 'a')] },
+  { guards: 'a resend after a lost answer gets the original answer, also after later versions', commands: [manifestCommand(0, 'a'), manifestCommand(1, 'b'), manifestCommand(0, 'a')], answers: [accepted(1, false), accepted(2, false), accepted(1, true)] },
+  { guards: 'the refusal names the winner of the version asked for, not the newest', commands: [manifestCommand(0, 'a'), manifestCommand(1, 'b'), manifestCommand(0, 'c')], answers: [accepted(1, false), accepted(2, false), conflict(2, 'a')] },
+  { guards: 'a base in the future is refused', commands: [manifestCommand(0, 'a'), manifestCommand(5, 'b')], answers: [accepted(1, false), conflict(1, 'a')] },
+  { guards: 'a future base on an empty state is refused without a winner', commands: [manifestCommand(1, 'a')], answers: [conflict(0, '')] },
+  { guards: 'the same content is accepted again on a later base, as an operator may go back', commands: [manifestCommand(0, 'a'), manifestCommand(1, 'b'), manifestCommand(2, 'a')], answers: [accepted(1, false), accepted(2, false), accepted(3, false)] },
+  { guards: 'an unknown group starts at term 0', commands: [begin(0), begin(1)], answers: [refused(0, 'serving'), changed(1, false)] },
+  { guards: 'an election of an old or equal term is refused, so no term has two elections', commands: [begin(3), begin(3), begin(2)], answers: [changed(3, false), refused(3, 'electing'), refused(3, 'electing')] },
+  { guards: 'a primary of an older or newer term than the electing one is refused', commands: [begin(3), elect(2), elect(4), elect(3)], answers: [changed(3, false), refused(3, 'electing'), refused(3, 'electing'), changed(3, true)] },
+  { guards: 'a term gets one primary only', commands: [begin(3), elect(3), elect(3)], answers: [changed(3, false), changed(3, true), refused(3, 'serving')] },
+  { guards: 'a primary without an election is refused', commands: [elect(0), elect(1)], answers: [refused(0, 'serving'), refused(0, 'serving')] },
+  { guards: 'a new election takes the primary away', commands: [begin(1), elect(1), begin(2)], answers: [changed(1, false), changed(1, true), changed(2, false)] }
+]
+
+for (const { guards, commands, answers } of cases) {
+  t.test(guards, async (t) => {
+    t.same(applyAll(commands).answers, answers)
+  })
+}
+
+t.test('a resend is recognized over the last 4,096 versions, and an older one is refused and not accepted twice', async (t) => {
+  const versions = REMEMBERED_DIGESTS + 1
+  const { state } = applyAll(Array.from({ length: versions }, (_, base) => manifestCommand(base, `content ${base}`)))
+  t.same(applyCommand(state, manifestCommand(1, 'content 1')).answer, accepted(2, true))
+  t.same(applyCommand(state, manifestCommand(0, 'content 0')).answer, conflict(versions, `content ${versions - 1}`))
+})
