consensus: controller of the replicated log

The control instances need one replicated log without an external store. It does no I/O and answers only after the persist effect was reported as synced. A property test runs it over simulated disks and a simulated network.

--- /dev/null
+++ b/src/decisions/consensus/consensus-options.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../../types/clock.js'
+import type { Address } from '../../types/ids.js'
+import type { Command, CommandAnswer, ReplicatedState } from '../../types/replicated-state.js'
+
+/** Options of the consensus controller. Times are in milliseconds. */
+export interface ConsensusOptions {
+  /** Where this member receives messages of other members. */
+  ownAddress: Address
+  /** Where entry instances and operators reach this member. */
+  entryAddress: Address
+  /** Addresses of all members, this one included. */
+  memberAddresses: readonly Address[]
+  clock: Clock
+  /** @returns a number from 0 up to and without 1 */
+  random: () => number
+  /** State before the first entry. */
+  initialState: ReplicatedState
+  /** The state machine. Must be deterministic and leave its arguments unchanged. */
+  apply: (state: ReplicatedState, command: Command) => { state: ReplicatedState, answer: CommandAnswer }
+  /** Shortest election timeout. Default 300: four missed heartbeats. */
+  electionTimeoutMinMs?: number
+  /** Longest election timeout; a leader that heard no majority for this time steps down. Default 600. */
+  electionTimeoutMaxMs?: number
+  /** Time between heartbeats of the leader. Default 75. */
+  heartbeatMs?: number
+  /** Time between probes of a member that hears no leader, and after which an unanswered snapshot is sent again. Default 500. */
+  probeMs?: number
+  /** Applied entries after which a snapshot replaces the log. Default 512. */
+  snapshotThreshold?: number
+  /** Largest number of entries in one append message. Default 64. */
+  entriesPerAppend?: number
+}
+
+export type ResolvedConsensusOptions = Required<ConsensusOptions>
+
+/** @returns the options with all defaults filled in */
+export function resolveConsensusOptions (options: ConsensusOptions): ResolvedConsensusOptions {
+  return {
+    electionTimeoutMinMs: 300,
+    electionTimeoutMaxMs: 600,
+    heartbeatMs: 75,
+    probeMs: 500,
+    snapshotThreshold: 512,
+    entriesPerAppend: 64,
+    ...options
+  }
+}
--- /dev/null
+++ b/src/types/control-storage.ts
@@ -0,0 +1,36 @@
+import type { Result } from 'neverthrow'
+import type { LogEntry, LogSnapshot, TermVote } from './consensus-entry.js'
+import type { MemberId } from './ids.js'
+import type { ResultCode } from './result-code.js'
+
+/** A change of a member's durable state. */
+export type DurableRecord =
+  | { kind: 'vote', vote: TermVote }
+  /** The first entry replaces the entry with its index and everything after it. */
+  | { kind: 'entries', entries: LogEntry[] }
+  /** Replaces the whole log; `entries` follow the snapshot. */
+  | { kind: 'snapshot', snapshot: LogSnapshot, vote: TermVote, entries: LogEntry[] }
+
+/** Durable state of a member at its start. */
+export interface RestoredMember {
+  member: MemberId
+  vote: TermVote
+  snapshot: LogSnapshot | null
+  /** Entries after the snapshot, without gaps. */
+  entries: LogEntry[]
+}
+
+export interface StorageFailure {
+  code: ResultCode
+  message: string
+}
+
+export interface ControlStorage {
+  /**
+   * Writes records in the order of the calls; resolves after they were synced. Calls made during a sync share the next one.
+   * After a failure nothing is written any more and every later call fails.
+   */
+  persist: (records: DurableRecord[]) => Promise<Result<void, StorageFailure>>
+  /** Waits for pending writes and closes the files. */
+  close: () => Promise<void>
+}
--- /dev/null
+++ b/test/decisions/consensus/consensus-property.test.ts
@@ -0,0 +1,103 @@
+import fc from 'fast-check'
+import t from 'tap'
+import { manifestCommand } from '../../fixtures/manifest-command.js'
+import type { SimulatedCluster, SimulatedMember } from '../../fixtures/simulated-cluster.js'
+import { createSimulatedCluster } from '../../fixtures/simulated-cluster.js'
+
+const SEED = 20260131
+const RUNS = 150
+
+const position = fc.nat({ max: 4 })
+const stepArbitrary = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('run' as const), durationMs: fc.constantFrom(10, 50, 200, 800, 2000) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('commit' as const), position, content: fc.constantFrom('a', 'b', 'c') }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('confirm' as const), position }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('crash' as const), position, keptShare: fc.constantFrom(0, 0.5, 0.99) }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constant('restart' as const), position }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('crash-leader' as const), keptShare: fc.constantFrom(0, 0.5, 0.99) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('isolate-leader' as const) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('cut' as const), position, other: position }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constant('heal' as const) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('faults' as const), drop: fc.constantFrom(0, 0.1, 0.4), duplicate: fc.constantFrom(0, 0.3), maxDelayMs: fc.constantFrom(5, 60, 60, 400) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('replace-folder' as const), position }) }
+)
+type Step = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never
+
+const noCoverage = { accepted: 0, leaders: 0, replaced: 0, confirmed: 0, snapshots: 0 }
+let coverage = noCoverage
+
+function takeStep (cluster: SimulatedCluster, step: Step): void {
+  const memberAt = (index: number): SimulatedMember => cluster.members[index % cluster.members.length] as SimulatedMember
+  switch (step.kind) {
+    case 'run': return cluster.run(step.durationMs)
+    case 'commit': {
+      // Two members that both believe to lead, or two operators, commit on one base.
+      const base = cluster.checks.newestAccepted()
+      cluster.propose(cluster.leader() ?? memberAt(step.position), manifestCommand(base, `${step.content} on ${base}`))
+      cluster.propose(memberAt(step.position), manifestCommand(base, `other on ${base}`))
+      return
+    }
+    case 'confirm': {
+      cluster.confirm(memberAt(step.position))
+      const leader = cluster.leader()
+      if (leader === null) return
+      const isConfirmed = cluster.confirm(leader)
+      cluster.run(200)
+      if (isConfirmed()) coverage.confirmed++
+      return
+    }
+    case 'crash': return cluster.crash(memberAt(step.position), step.keptShare)
+    case 'crash-leader': {
+      const leader = cluster.leader()
+      if (leader !== null) cluster.crash(leader, step.keptShare)
+      return
+    }
+    case 'isolate-leader': {
+      const leader = cluster.leader()
+      if (leader !== null) cluster.isolate(leader)
+      return
+    }
+    case 'restart': return cluster.start(memberAt(step.position))
+    case 'cut': return cluster.cut(memberAt(step.position), memberAt(step.other))
+    case 'heal': return cluster.heal()
+    case 'faults': return cluster.setFaults(step)
+    case 'replace-folder': {
+      // A second folder may be lost only after the first was replaced completely.
+      if (!cluster.isWhole()) return
+      cluster.wipe(memberAt(step.position))
+      cluster.start(memberAt(step.position))
+      coverage.replaced++
+    }
+  }
+}
+
+function checkSchedule (size: number, seed: number, steps: readonly Step[]): void {
+  const cluster = createSimulatedCluster(size, seed)
+  cluster.runUntil('the cluster forms', cluster.isWhole)
+  for (const step of steps) takeStep(cluster, step)
+  cluster.heal()
+  cluster.members.forEach(cluster.start)
+  cluster.runUntil('every folder is a voter', cluster.isWhole)
+  for (const [version, digest] of [...cluster.checks.acceptedDigests()]) {
+    const answer = cluster.commit(manifestCommand(version - 1, digest))
+    if (answer.kind !== 'manifest-accepted' || !answer.resent) throw new Error(`the resend of accepted manifest ${version} was answered with ${JSON.stringify(answer)}`)
+  }
+  const commitIndex = cluster.leader()?.controller?.view().commitIndex ?? 0
+  cluster.runUntil('all members have applied everything', () => cluster.members.every((member) => (member.controller?.view().commitIndex ?? 0) >= commitIndex))
+  coverage.accepted += cluster.checks.newestAccepted()
+  coverage.leaders += cluster.checks.leaders()
+  coverage.snapshots += cluster.members.filter((member) => member.disk.restored().snapshot !== null).length
+}
+
+for (const size of [3, 5]) {
+  t.test(`${size} members keep one leader a term, committed entries, accepted manifests and answers under random faults`, async (t) => {
+    coverage = { ...noCoverage }
+    fc.assert(fc.property(fc.integer(), fc.array(stepArbitrary, { minLength: 10, maxLength: 60, size: 'max' }), (seed, steps) => {
+      checkSchedule(size, seed, steps)
+    }), { seed: SEED, numRuns: RUNS })
+    t.comment(`seed ${SEED}, ${RUNS} schedules: ${JSON.stringify(coverage)}`)
+    for (const [what, count] of Object.entries(coverage)) {
+      t.ok(count >= RUNS / 4, `the schedules reach enough cases of: ${what}`)
+    }
+  })
+}
