--- /dev/null
+++ b/src/utils/indexed-heap.ts
@@ -0,0 +1,99 @@
+/** Binary min-heap in which entries are found by key. Equal priorities keep their order of insertion. */
+export interface IndexedHeap<Key> {
+  readonly size: number
+  /** Inserts a key or changes its priority. O(log n). */
+  set: (key: Key, priority: number) => void
+  /** Removes a key if it is present. O(log n). */
+  remove: (key: Key) => void
+  /** @returns the key of lowest priority, or undefined when the heap is empty */
+  peek: () => { key: Key, priority: number } | undefined
+}
+
+interface Node<Key> {
+  key: Key
+  priority: number
+  insertion: number
+}
+
+function isBefore<Key> (left: Node<Key>, right: Node<Key>): boolean {
+  if (left.priority !== right.priority) return left.priority < right.priority
+  return left.insertion < right.insertion
+}
+
+/** @returns an empty heap */
+export function createIndexedHeap<Key> (): IndexedHeap<Key> {
+  const nodes: Node<Key>[] = []
+  const indexes = new Map<Key, number>()
+  let insertions = 0
+
+  function place (node: Node<Key>, index: number): void {
+    nodes[index] = node
+    indexes.set(node.key, index)
+  }
+
+  function moveUp (node: Node<Key>, from: number): number {
+    let index = from
+    while (index > 0) {
+      const parentIndex = (index - 1) >> 1
+      const parent = nodes[parentIndex] as Node<Key>
+      if (!isBefore(node, parent)) break
+      place(parent, index)
+      index = parentIndex
+    }
+    return index
+  }
+
+  function moveDown (node: Node<Key>, from: number): number {
+    let index = from
+    for (;;) {
+      let childIndex = 2 * index + 1
+      if (childIndex >= nodes.length) return index
+      const right = nodes[childIndex + 1]
+      if (right !== undefined && isBefore(right, nodes[childIndex] as Node<Key>)) childIndex++
+      const child = nodes[childIndex] as Node<Key>
+      if (!isBefore(child, node)) return index
+      place(child, index)
+      index = childIndex
+    }
+  }
+
+  function settle (node: Node<Key>, index: number): void {
+    const risen = moveUp(node, index)
+    place(node, risen)
+    place(node, moveDown(node, risen))
+  }
+
+  function set (key: Key, priority: number): void {
+    const index = indexes.get(key)
+    if (index === undefined) {
+      settle({ key, priority, insertion: insertions++ }, nodes.length)
+      return
+    }
+    const node = nodes[index] as Node<Key>
+    if (node.priority === priority) return
+    node.priority = priority
+    node.insertion = insertions++
+    settle(node, index)
+  }
+
+  function remove (key: Key): void {
+    const index = indexes.get(key)
+    if (index === undefined) return
+    indexes.delete(key)
+    const last = nodes.pop() as Node<Key>
+    if (last.key !== key) settle(last, index)
+  }
+
+  function peek (): { key: Key, priority: number } | undefined {
+    const first = nodes[0]
+    if (first === undefined) return undefined
+    return { key: first.key, priority: first.priority }
+  }
+
+  return {
+    get size () { return nodes.length },
+    set,
+    remove,
+    peek
+  }
+}
