--- /dev/null
+++ b/src/decisions/execution/create-fair-request-queue.ts
@@ -0,0 +1,18 @@
+import { createWeightedFairQueue } from '../fairness/weighted-fair-queue.js'
+import { requestId } from '../../types/ids.js'
+import type { RequestQueue, RequestQueueOptions } from './request-queue.js'
+
+/** @returns a weighted fair queue in the form that the executor takes */
+export function createFairRequestQueue<Item> (options: RequestQueueOptions): RequestQueue<Item> {
+  const queue = createWeightedFairQueue<Item>({ clock: options.clock, weightOf: options.weightOf })
+
+  return {
+    enqueue: ({ id, workspace, deadline, expectedMs, item }) => queue.enqueue({ id: requestId(id), workspace, deadline, cost: expectedMs, item }).isOk(),
+    take: (canRun) => queue.dequeue((entry) => canRun(entry.item))?.item ?? null,
+    cancel: (id) => queue.cancel(requestId(id)) !== null,
+    charge: queue.charge,
+    expire: () => queue.takeExpired().map((entry) => entry.item),
+    waitingTimeMs: (workspace) => queue.estimateWait(workspace, 1),
+    size: () => queue.size
+  }
+}
--- a/src/decisions/execution/group-executor.ts
+++ b/src/decisions/execution/group-executor.ts
@@ -1,6 +1,7 @@
 import type { ReleasedTerm } from '../../types/control-message.js'
 import type { Controller } from '../../types/controller.js'
 import type { ExecutorEffect, ExecutorMessage, RequesterName } from '../../types/executor-message.js'
+import type { DatabaseId } from '../../types/ids.js'
 import type { Execute } from '../../types/peer-message.js'
 import { refuse } from '../../types/result-code.js'
 import type { ShareDemand } from '../../types/share.js'
@@ -37,6 +38,10 @@
   releasedTerms: () => ReleasedTerm[]
   /** @returns the number of requests and transactions that have not ended */
   activeCount: () => number
+  /** @returns slots of a database in use; a reduced share is acknowledged only once the use fits into it */
+  usedSlots: (database: DatabaseId) => number
+  /** @returns connections to a database that are open or being opened */
+  usedConnections: (database: DatabaseId) => number
 }
 
 function createParts (options: ResolvedExecutorOptions, emit: (effect: ExecutorEffect) => void): ExecutorParts {
@@ -148,6 +153,8 @@
     tick,
     demand: estimate.demand,
     releasedTerms: () => releasedTermsOf(parts),
-    activeCount: () => requests.size() + transactions.size()
+    activeCount: () => requests.size() + transactions.size(),
+    usedSlots: parts.slots.running,
+    usedConnections: pool.count
   }
 }
