coordinator: registries, holder placement, failover and their wiring

The control leader had contracts but no decisions. This adds the instance and database registries, holder placement, database weights, the directory builder, the failover of primaries with planned switchovers, and the coordinator that wires them over the control log, the share allocator and the database orders.

--- /dev/null
+++ b/src/control/coordinator.ts
@@ -0,0 +1,273 @@
+import { createBlackboard } from '../blackboard/blackboard.js'
+import {
+  databaseWeightsEntry, holdersEntry, leadershipEntry, primaryChangesEntry, publishedDirectoryEntry, registeredDatabasesEntry,
+  registeredInstancesEntry, replicatedStateEntry, switchingGroupsEntry
+} from '../blackboard/control-instance-entries.js'
+import { createDatabaseWeights } from '../decisions/failure-domains/database-weights.js'
+import { createFailover } from '../decisions/failover/failover.js'
+import type { FailoverMessage } from '../decisions/failover/failover-message.js'
+import type { FailoverOptions } from '../decisions/failover/failover-options.js'
+import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
+import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
+import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
+import { createHolderAssignment } from '../decisions/membership/holder-assignment.js'
+import { createInstanceRegistry } from '../decisions/membership/instance-registry.js'
+import type { Clock } from '../types/clock.js'
+import type { ControlLog } from '../types/control-log.js'
+import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
+import type { DatabaseOrders } from '../types/database-connection.js'
+import type { Announcement } from '../types/database-status.js'
+import type { LogEvent } from '../types/log-event.js'
+import type { ShareAllocator } from '../types/share-allocator.js'
+import { summarize } from './coordinator-summary.js'
+import type { CoordinatorSummary } from './coordinator-summary.js'
+import { createEntryConnections } from './entry-connections.js'
+import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
+import { createFailoverEffects } from './failover-effects.js'
+import { createLeadership } from './leadership.js'
+import { createLostInstances } from './lost-instances.js'
+import { shareResources } from './share-resources.js'
+
+/** A heartbeat answer is repeated for changed shares only while the heartbeat is younger than this, in ms: its interval. */
+const REPEATABLE_ANSWER_MS = 500
+
+export interface CoordinatorOptions {
+  clock: Clock
+  log: ControlLog
+  allocator: ShareAllocator
+  orders: DatabaseOrders
+  send: (connection: ConnectionName, message: ControlToEntry) => void
+  logEvent: LogEvent
+  /** Times of the failover that differ from their defaults. */
+  failover?: Omit<FailoverOptions, 'blackboard' | 'clock'>
+}
+
+/** The part of a control instance that talks to entry instances and databases while it leads. */
+export interface Coordinator {
+  /** Takes a connection of an entry instance into use. */
+  attach: (connection: ConnectionName) => void
+  /** The connection ended. */
+  detach: (connection: ConnectionName) => void
+  handle: (connection: ConnectionName, message: EntryToControl) => void
+  /** Called at least every 50 ms. */
+  tick: () => void
+  summary: () => CoordinatorSummary
+}
+
+/** Creates the coordinator of a control instance. It does nothing but refer to the leader while the instance does not lead. */
+export function createCoordinator (options: CoordinatorOptions): Coordinator {
+  const { clock, log, allocator, orders, send, logEvent } = options
+  const blackboard = createBlackboard()
+  const stateEntry = blackboard.claim(replicatedStateEntry, 'coordinator')
+  const entries = {
+    leadership: blackboard.reader(leadershipEntry),
+    instances: blackboard.reader(registeredInstancesEntry),
+    databases: blackboard.reader(registeredDatabasesEntry),
+    weights: blackboard.reader(databaseWeightsEntry),
+    holders: blackboard.reader(holdersEntry),
+    directory: blackboard.reader(publishedDirectoryEntry),
+    switching: blackboard.reader(switchingGroupsEntry),
+    changes: blackboard.reader(primaryChangesEntry)
+  }
+  const instances = createInstanceRegistry({ blackboard, clock })
+  const databases = createDatabaseRegistry({ blackboard, clock })
+  const weights = createDatabaseWeights({ blackboard, clock })
+  const assignment = createHolderAssignment({ blackboard, clock })
+  const builder = createDirectoryBuilder({ blackboard })
+  const failover = createFailover({ ...options.failover, blackboard, clock })
+  const lost = createLostInstances()
+  const connections = createEntryConnections({ clock, send })
+  const runEffects = createFailoverEffects({ log, orders, logEvent, deliver: failoverOutcome })
+  const leadership = createLeadership<EntryConnection>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
+  let sharesAreStale = true
+
+  function leadershipBegan (term: number): void {
+    for (const part of [instances, databases, weights, assignment, builder, failover, lost, connections]) part.reset()
+    sharesAreStale = true
+    allocator.becomeLeader(term)
+    logEvent('leaderElected', { term })
+  }
+
+  function established (): void {
+    stateChanged()
+    update()
+  }
+
+  function leadershipEnded (): void {
+    builder.reset()
+    logEvent('leadershipLost')
+    for (const { name } of connections.all()) refer(name)
+  }
+
+  function refer (connection: ConnectionName): void {
+    send(connection, { version: 1, kind: 'not-leader', leaderAddress: log.leaderAddress() })
+  }
+
+  function refuseAll (refused: EntryConnection[]): void {
+    for (const { name } of refused) refer(name)
+  }
+
+  function publishedState (): PublishedState {
+    const { manifestVersion, manifest } = stateEntry.read()
+    return { manifestVersion, manifest, directory: entries.directory.read() }
+  }
+
+  function answerAll (waiting: EntryConnection[]): void {
+    const state = publishedState()
+    for (const connection of waiting) answer(connection, state)
+  }
+
+  function answer (connection: EntryConnection, state: PublishedState): void {
+    const { heartbeat } = connection
+    // The connection may have ended, or the instance may have moved to another one, during the round.
+    if (heartbeat === null || connections.ofInstance(heartbeat.instance) !== connection) return
+    connections.pushMissing(connection, state)
+    send(connection.name, {
+      version: 1,
+      kind: 'heartbeat-answer',
+      sequence: heartbeat.sequence,
+      leaderTerm: leadership.term() ?? 0,
+      manifestVersion: state.manifestVersion,
+      // Until the first directory is published, no instance can hold what is named here, so none takes a lease.
+      directoryVersion: state.directory?.version ?? { leaderTerm: leadership.term() ?? 0, counter: 0 },
+      shares: allocator.renew(heartbeat.instance, heartbeat.incarnation)
+    })
+  }
+
+  function takeHeartbeat (connection: ConnectionName, heartbeat: Heartbeat): void {
+    const outcome = instances.handle(heartbeat)
+    if (outcome === 'ignored') return
+    connections.heartbeat(connection, heartbeat)
+    if (outcome === 'joined') logEvent('instanceJoined', { instance: heartbeat.instance, incarnation: heartbeat.incarnation })
+    if (outcome !== 'unchanged') assignment.invalidate()
+    lost.remove(heartbeat.instance)
+    for (const observation of heartbeat.observations) databases.observe(observation)
+    const { instance, incarnation, draining, leaderTerm, held, demand } = heartbeat
+    allocator.report({ instance, incarnation, draining, leaderTerm, held, demand })
+    failoverMessage({ kind: 'heartbeat-arrived' })
+    leadership.confirm(connection, connections.attach(connection))
+  }
+
+  function takeAnnouncement (announcement: Announcement): void {
+    const { database, group, address } = announcement
+    const outcome = databases.announce(announcement)
+    if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
+    if (outcome === 'departing') logEvent('databaseDeparting', { database, group })
+    if (outcome === 'announced' || outcome === 'departing') update()
+  }
+
+  function failoverMessage (message: FailoverMessage): void {
+    runEffects(failover.handle(message))
+    publishSwitches()
+  }
+
+  function failoverOutcome (message: FailoverMessage): void {
+    stateChanged()
+    leadership.refresh()
+    if (message.kind === 'order-answered' && message.order.leaderTerm === leadership.term()) databases.answered(message.status)
+    failoverMessage(message)
+  }
+
+  /** A switchover that began or ended is published at once, as writes wait for it. */
+  function publishSwitches (): void {
+    const directory = entries.directory.read()
+    if (directory === null) return
+    const published = directory.groups.filter(({ phase }) => phase === 'switching')
+    const switching = entries.switching.read()
+    const isCurrent = published.every(({ group }) => switching.has(group)) && [...switching].every((group) => published.some((entry) => entry.group === group))
+    if (!isCurrent) publish()
+  }
+
+  function update (): void {
+    if (!leadership.isEstablished()) return
+    weights.tick()
+    for (const group of assignment.tick()) logEvent('holdersChanged', { group, holders: (entries.holders.read().get(group) ?? []).join(' ') })
+    publish()
+  }
+
+  function publish (): void {
+    const state = publishedState()
+    const isReady = state.directory !== null || isDirectoryReady(blackboard, clock.now())
+    const directory = isReady && leadership.isEstablished() ? builder.build() : null
+    if (directory !== null || sharesAreStale) feedAllocator()
+    connections.push(publishedState())
+    if (directory !== null) failoverMessage({ kind: 'directory-published', directory })
+  }
+
+  function feedAllocator (): void {
+    sharesAreStale = false
+    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read() }))
+  }
+
+  function stateChanged (): void {
+    const last = stateEntry.read()
+    const state = log.state()
+    if (state === last) return
+    stateEntry.write(state)
+    if (state.manifestVersion === last.manifestVersion) return
+    sharesAreStale = true
+    assignment.invalidate()
+  }
+
+  function logChanged (): void {
+    stateChanged()
+    leadership.refresh()
+    if (leadership.term() === null) return
+    update()
+    runEffects(failover.tick())
+    publishSwitches()
+  }
+
+  function handle (connection: ConnectionName, message: EntryToControl): void {
+    connections.attach(connection)
+    leadership.refresh()
+    if (leadership.term() === null) return refer(connection)
+    if (message.kind === 'heartbeat') takeHeartbeat(connection, message)
+    else takeAnnouncement(message.announcement)
+  }
+
+  function tick (): void {
+    leadership.refresh()
+    if (leadership.term() === null) return
+    for (const instance of instances.tick()) {
+      lost.add(instance)
+      assignment.invalidate()
+      logEvent('instanceLost', { instance: instance.instance })
+    }
+    databases.tick()
+    update()
+    runEffects(failover.tick())
+    publishSwitches()
+    allocator.tick()
+    repeatAnswers()
+    leadership.tick()
+  }
+
+  /** There is no message that asks for a heartbeat. The last answer is given again with the changed shares instead, after a new round. */
+  function repeatAnswers (): void {
+    for (const instance of allocator.takeChanged()) {
+      const connection = connections.ofInstance(instance)
+      const registered = entries.instances.read().get(instance)
+      if (connection === undefined || registered === undefined || clock.now() - registered.lastHeartbeatAt >= REPEATABLE_ANSWER_MS) continue
+      leadership.confirm(connection.name, connection)
+    }
+  }
+
+  function summary (): CoordinatorSummary {
+    return summarize({
+      now: clock.now(),
+      leaderTerm: leadership.term(),
+      manifestVersion: stateEntry.read().manifestVersion,
+      directory: entries.directory.read(),
+      instances: entries.instances.read().values(),
+      lostInstances: lost.all(),
+      databases: entries.databases.read(),
+      weights: entries.weights.read(),
+      changes: entries.changes.read()
+    })
+  }
+
+  log.onChange(logChanged)
+  logChanged()
+  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, tick, summary }
+}
--- /dev/null
+++ b/src/control/failover-effects.ts
@@ -0,0 +1,52 @@
+import type { Result } from 'neverthrow'
+import type { FailoverEffect, FailoverMessage, GroupCommand, SentOrder } from '../decisions/failover/failover-message.js'
+import type { ControlLog } from '../types/control-log.js'
+import type { DatabaseFailure, DatabaseOrders } from '../types/database-connection.js'
+import type { DatabaseStatus } from '../types/database-status.js'
+import type { LogEvent } from '../types/log-event.js'
+
+export interface FailoverEffectsOptions {
+  log: ControlLog
+  orders: DatabaseOrders
+  logEvent: LogEvent
+  /** Takes the outcome of an order or a proposal. */
+  deliver: (message: FailoverMessage) => void
+}
+
+/** @returns a function that carries out the effects of the failover */
+export function createFailoverEffects (options: FailoverEffectsOptions): (effects: readonly FailoverEffect[]) => void {
+  const { log, orders, logEvent, deliver } = options
+
+  function runOrder (order: SentOrder): void {
+    give(orders, order).then((result) => {
+      if (result.isOk()) deliver({ kind: 'order-answered', order, status: result.value })
+      else deliver({ kind: 'order-failed', order, failure: result.error })
+    }, (error: unknown) => deliver({ kind: 'order-failed', order, failure: { sqlState: null, message: String(error) } }))
+  }
+
+  function runProposal (leaderTerm: number, command: GroupCommand): void {
+    log.propose(command).then((result) => {
+      if (result.isOk()) deliver({ kind: 'proposal-answered', leaderTerm, command, answer: result.value })
+      else deliver({ kind: 'proposal-failed', leaderTerm, command, failure: result.error })
+    }, () => deliver({ kind: 'proposal-failed', leaderTerm, command, failure: { kind: 'unknown' } }))
+  }
+
+  return (effects) => {
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case 'order': runOrder(effect.order); break
+        case 'propose': runProposal(effect.leaderTerm, effect.command); break
+        case 'log': logEvent(effect.name, effect.details); break
+      }
+    }
+  }
+}
+
+function give (orders: DatabaseOrders, { address, action }: SentOrder): Promise<Result<DatabaseStatus, DatabaseFailure>> {
+  switch (action.kind) {
+    case 'status': return orders.status(address)
+    case 'fence': return orders.fence(address, action.term)
+    case 'promote': return orders.promote(address, action.term)
+    case 'follow': return orders.follow(address, action.term, action.primaryAddress)
+  }
+}
--- /dev/null
+++ b/src/control/share-resources.ts
@@ -0,0 +1,39 @@
+import type { RegisteredDatabase } from '../blackboard/control-instance-entries.js'
+import { MAX_HOLDERS } from '../decisions/membership/holder-placement.js'
+import { resourceId } from '../types/ids.js'
+import type { DatabaseId, GroupId, InstanceId, ResourceId } from '../types/ids.js'
+import type { Manifest } from '../types/manifest.js'
+import type { ResourceSize } from '../types/share-allocator.js'
+
+/**
+ * Connections of a database that are not shared out: one for the status watch of each holder. It is the largest number of holders
+ * and not the present one, so that naming a holder does not shrink the shares of the others.
+ */
+const STATUS_WATCH_CONNECTIONS = MAX_HOLDERS
+/** Connections of a database that stay free for the control leader: one for the running order and one for a repeated or new leader's order. */
+const CONTROL_CONNECTIONS = 2
+
+export interface ShareResourceSources {
+  manifest: Manifest | null
+  databases: ReadonlyMap<DatabaseId, RegisteredDatabase>
+  holders: ReadonlyMap<GroupId, readonly InstanceId[]>
+}
+
+/** @returns everything that the share allocator divides: rates of workspaces, slots and connections of databases */
+export function shareResources ({ manifest, databases, holders }: ShareResourceSources): Map<ResourceId, ResourceSize> {
+  const resources = new Map<ResourceId, ResourceSize>()
+  if (manifest === null) return resources
+  for (const { id, rate, burst } of manifest.workspaces) {
+    resources.set(resourceId('rate', id), { amount: rate, burst, whole: false, eligible: null })
+  }
+  const groups = new Map(manifest.groups.map((group) => [group.id, group]))
+  for (const [database, { announcement }] of databases) {
+    const group = groups.get(announcement.group)
+    if (group === undefined) continue
+    const eligible = holders.get(group.id) ?? []
+    const connections = Math.max(0, group.connections - STATUS_WATCH_CONNECTIONS - CONTROL_CONNECTIONS)
+    resources.set(resourceId('slots', database), { amount: group.slots, burst: 0, whole: true, eligible })
+    resources.set(resourceId('connections', database), { amount: connections, burst: 0, whole: true, eligible })
+  }
+  return resources
+}
--- /dev/null
+++ b/src/decisions/failover/failover-message.ts
@@ -0,0 +1,42 @@
+import type { ControlLogFailure } from '../../types/control-log.js'
+import type { DatabaseFailure } from '../../types/database-connection.js'
+import type { DatabaseStatus } from '../../types/database-status.js'
+import type { Directory } from '../../types/directory.js'
+import type { Address, DatabaseId, GroupId } from '../../types/ids.js'
+import type { LogDetails, LogEventName } from '../../types/log-event.js'
+import type { Command, CommandAnswer } from '../../types/replicated-state.js'
+
+export type GroupCommand = Extract<Command, { kind: 'begin-election' | 'set-primary' }>
+
+/** What a database is asked to do. */
+export type DatabaseAction =
+  | { kind: 'status' }
+  | { kind: 'fence', term: number }
+  | { kind: 'promote', term: number }
+  | { kind: 'follow', term: number, primaryAddress: Address }
+
+/** An order to one database. Answers carry it back, so that late and doubled ones can be told apart. */
+export interface SentOrder {
+  group: GroupId
+  database: DatabaseId
+  address: Address
+  /** Term of the leadership that gave the order. */
+  leaderTerm: number
+  sentAt: number
+  action: DatabaseAction
+}
+
+export type FailoverMessage =
+  | { kind: 'order-answered', order: SentOrder, status: DatabaseStatus }
+  | { kind: 'order-failed', order: SentOrder, failure: DatabaseFailure }
+  | { kind: 'proposal-answered', leaderTerm: number, command: GroupCommand, answer: CommandAnswer }
+  | { kind: 'proposal-failed', leaderTerm: number, command: GroupCommand, failure: ControlLogFailure }
+  /** The directory was sent to the attached instances. */
+  | { kind: 'directory-published', directory: Directory }
+  /** An instance reported released terms or observations. */
+  | { kind: 'heartbeat-arrived' }
+
+export type FailoverEffect =
+  | { kind: 'order', order: SentOrder }
+  | { kind: 'propose', leaderTerm: number, command: GroupCommand }
+  | { kind: 'log', name: LogEventName, details: LogDetails }
--- /dev/null
+++ b/src/decisions/failover/group-views.ts
@@ -0,0 +1,87 @@
+import type { EntryReader } from '../../blackboard/blackboard.js'
+import type { Leadership, RegisteredDatabase, RegisteredInstance } from '../../blackboard/control-instance-entries.js'
+import type { Clock } from '../../types/clock.js'
+import type { DatabaseId, GroupId, InstanceId } from '../../types/ids.js'
+import type { ReplicatedGroup, ReplicatedState } from '../../types/replicated-state.js'
+import type { GroupMember, GroupView } from './group-view.js'
+
+export interface GroupViewSources {
+  clock: Clock
+  leadership: EntryReader<Leadership | null>
+  instances: EntryReader<ReadonlyMap<InstanceId, RegisteredInstance>>
+  databases: EntryReader<ReadonlyMap<DatabaseId, RegisteredDatabase>>
+  weights: EntryReader<ReadonlyMap<DatabaseId, number>>
+  holders: EntryReader<ReadonlyMap<GroupId, readonly InstanceId[]>>
+  state: EntryReader<ReplicatedState>
+}
+
+/** Reads single groups from the blackboard. */
+export interface GroupViews {
+  /** @returns the configured groups */
+  groups: () => GroupId[]
+  /** @returns the group, or undefined if it is not configured or this member does not lead */
+  of: (group: GroupId) => GroupView | undefined
+}
+
+/** Creates the reader. It keeps indexes by group, so that one tick over 400 groups does not search 1,200 databases for each. */
+export function createGroupViews (sources: GroupViewSources): GroupViews {
+  const replicatedGroups = createStateIndex(sources.state)
+  let members = new Map<GroupId, DatabaseId[]>()
+  let indexedDatabases = -1
+
+  function groups (): GroupId[] {
+    members = indexMembers(sources.databases.read())
+    indexedDatabases = sources.databases.read().size
+    return [...replicatedGroups().keys()]
+  }
+
+  function of (group: GroupId): GroupView | undefined {
+    const leadership = sources.leadership.read()
+    const replicated = replicatedGroups().get(group)
+    if (leadership === null || replicated === undefined) return undefined
+    if (indexedDatabases !== sources.databases.read().size) groups()
+    return {
+      now: sources.clock.now(),
+      leadership,
+      group,
+      replicated,
+      members: (members.get(group) ?? []).flatMap((database) => memberOf(database)),
+      holders: sources.holders.read().get(group) ?? [],
+      instances: sources.instances.read()
+    }
+  }
+
+  function memberOf (database: DatabaseId): GroupMember[] {
+    const registered = sources.databases.read().get(database)
+    if (registered === undefined) return []
+    return [{ database, address: registered.announcement.address, weight: sources.weights.read().get(database) ?? 0, registered }]
+  }
+
+  return { groups, of }
+}
+
+function indexMembers (databases: ReadonlyMap<DatabaseId, RegisteredDatabase>): Map<GroupId, DatabaseId[]> {
+  const index = new Map<GroupId, DatabaseId[]>()
+  for (const database of [...databases.keys()].sort()) {
+    const group = databases.get(database)?.announcement.group as GroupId
+    const members = index.get(group)
+    if (members === undefined) index.set(group, [database])
+    else members.push(database)
+  }
+  return index
+}
+
+/** @returns a reader of the configured groups; the index is rebuilt when the log has a new state */
+function createStateIndex (reader: EntryReader<ReplicatedState>): () => ReadonlyMap<GroupId, ReplicatedGroup> {
+  let indexed: ReplicatedState | null = null
+  let index = new Map<GroupId, ReplicatedGroup>()
+
+  return () => {
+    const state = reader.read()
+    if (state === indexed) return index
+    const known = new Map(state.groups.map((entry) => [entry.group, entry]))
+    index = new Map((state.manifest?.groups ?? []).map(({ id }) => [id, known.get(id) ?? { group: id, term: 0, primary: null, phase: 'serving' }]))
+    indexed = state
+    return index
+  }
+}
--- /dev/null
+++ b/src/decisions/membership/database-registry.ts
@@ -0,0 +1,109 @@
+import type { Blackboard } from '../../blackboard/blackboard.js'
+import { registeredDatabasesEntry } from '../../blackboard/control-instance-entries.js'
+import type { RegisteredDatabase } from '../../blackboard/control-instance-entries.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import { milliseconds } from '../../types/clock.js'
+import type { DatabaseObservation } from '../../types/control-message.js'
+import type { Announcement, DatabaseStatus } from '../../types/database-status.js'
+import type { DatabaseId } from '../../types/ids.js'
+import { createRetiredIncarnations } from './retired-incarnations.js'
+
+/** A departing database stays so until no departing announcement has come for this time, in ms: two announcement intervals. */
+export const DEPARTING_HOLD_MS = 2000
+/** An incarnation that was silent for this long no longer rules out an older one, in ms: three announcement intervals. */
+export const INCARNATION_HOLD_MS = 3000
+/** A departing database that was silent for this long is gone, in ms. */
+export const DEPARTED_AFTER_MS = 10_000
+
+export interface DatabaseRegistryOptions {
+  blackboard: Blackboard
+  clock: Clock
+}
+
+/**
+ * - `announced`: first announcement, or a new address
+ * - `departing`, `returned`: the departing state changed
+ * - `ignored`: an announcement of a replaced incarnation
+ */
+export type AnnouncementOutcome = 'announced' | 'departing' | 'returned' | 'unchanged' | 'ignored'
+
+/** Databases as they announce themselves. There is no list of databases. */
+export interface DatabaseRegistry {
+  announce: (announcement: Announcement) => AnnouncementOutcome
+  /** Takes a status that a holder saw. */
+  observe: (observation: DatabaseObservation) => void
+  /** Takes the answer of a database to an order. */
+  answered: (status: DatabaseStatus) => void
+  /** Forgets departed databases. @returns those that are gone since the last call */
+  tick: () => DatabaseId[]
+  /** Forgets everything; called at each change of leadership. */
+  reset: () => void
+}
+
+/** Creates the registry; it writes `registeredDatabasesEntry`. */
+export function createDatabaseRegistry (options: DatabaseRegistryOptions): DatabaseRegistry {
+  const { blackboard, clock } = options
+  const entry = blackboard.claim(registeredDatabasesEntry, 'database-registry')
+  const retired = createRetiredIncarnations<DatabaseId>()
+  const departingSeen = new Map<DatabaseId, Milliseconds>()
+  let databases = new Map<DatabaseId, RegisteredDatabase>()
+  entry.write(databases)
+
+  /** Whether the incarnation is the current one; a new one retires the one known so far. */
+  function isCurrent (known: RegisteredDatabase | undefined, status: DatabaseStatus): boolean {
+    if (known === undefined || known.status.incarnation === status.incarnation) return true
+    const isRetired = retired.has(status.database, status.incarnation)
+    if (isRetired && clock.now() - known.statusAt < INCARNATION_HOLD_MS) return false
+    retired.remove(status.database, status.incarnation)
+    retired.add(status.database, known.status.incarnation)
+    departingSeen.delete(status.database)
+    return true
+  }
+
+  function announce (announcement: Announcement): AnnouncementOutcome {
+    const { database, status } = announcement
+    const known = databases.get(database)
+    if (!isCurrent(known, status)) return 'ignored'
+    const now = clock.now()
+    if (announcement.departing) departingSeen.set(database, now)
+    const departing = now - (departingSeen.get(database) ?? -Infinity) < DEPARTING_HOLD_MS
+    databases.set(database, { announcement, departing, announcedAt: now, status, statusAt: now })
+    entry.write(databases)
+    return outcomeOf(known, announcement, departing)
+  }
+
+  function update (status: DatabaseStatus, statusAt: Milliseconds): void {
+    const known = databases.get(status.database)
+    if (known === undefined || statusAt < known.statusAt || !isCurrent(known, status)) return
+    databases.set(status.database, { ...known, status, statusAt })
+    entry.write(databases)
+  }
+
+  function observe (observation: DatabaseObservation): void {
+    if (observation.status === null) return
+    update(observation.status, milliseconds(clock.now() - observation.silentForMs))
+  }
+
+  function tick (): DatabaseId[] {
+    const oldest = clock.now() - DEPARTED_AFTER_MS
+    const gone = [...databases.values()].filter(({ departing, statusAt }) => departing && statusAt < oldest).map(({ announcement }) => announcement.database)
+    for (const database of gone) databases.delete(database)
+    if (gone.length > 0) entry.write(databases)
+    return gone
+  }
+
+  function reset (): void {
+    databases = new Map()
+    departingSeen.clear()
+    entry.write(databases)
+  }
+
+  return { announce, observe, answered: (status) => update(status, clock.now()), tick, reset }
+}
+
+function outcomeOf (known: RegisteredDatabase | undefined, announcement: Announcement, departing: boolean): AnnouncementOutcome {
+  if (known === undefined || known.announcement.address !== announcement.address) return 'announced'
+  if (departing && !known.departing) return 'departing'
+  if (!departing && known.departing) return 'returned'
+  return 'unchanged'
+}
--- /dev/null
+++ b/src/decisions/membership/directory-builder.ts
@@ -0,0 +1,106 @@
+import type { Blackboard } from '../../blackboard/blackboard.js'
+import {
+  databaseWeightsEntry, holdersEntry, leadershipEntry, publishedDirectoryEntry, registeredDatabasesEntry, registeredInstancesEntry,
+  replicatedStateEntry, switchingGroupsEntry
+} from '../../blackboard/control-instance-entries.js'
+import type { Directory, DirectoryDatabase, DirectoryGroup, DirectoryInstance } from '../../types/directory.js'
+import type { GroupId } from '../../types/ids.js'
+
+export interface DirectoryBuilderOptions {
+  blackboard: Blackboard
+}
+
+/** Builds what the leader publishes to every instance. */
+export interface DirectoryBuilder {
+  /**
+   * Builds the directory from the blackboard. The version advances only when the content differs from the published one.
+   * @returns the directory if it is new, null if nothing changed or this member does not lead
+   */
+  build: () => Directory | null
+  /** Withdraws the directory; called at each change of leadership. */
+  reset: () => void
+}
+
+type Content = Omit<Directory, 'version'>
+
+/** Creates the builder; it writes `publishedDirectoryEntry`. */
+export function createDirectoryBuilder (options: DirectoryBuilderOptions): DirectoryBuilder {
+  const { blackboard } = options
+  const entry = blackboard.claim(publishedDirectoryEntry, 'directory-builder')
+  const leadership = blackboard.reader(leadershipEntry)
+  const readContent = contentReader(blackboard)
+
+  function build (): Directory | null {
+    const leading = leadership.read()
+    if (leading === null) return null
+    const published = entry.read()
+    const content = readContent()
+    if (published !== null && isSameContent(published, content)) return null
+    const directory = { version: { leaderTerm: leading.term, counter: (published?.version.counter ?? 0) + 1 }, ...content }
+    entry.write(directory)
+    return directory
+  }
+
+  return { build, reset: () => entry.write(null) }
+}
+
+function contentReader (blackboard: Blackboard): () => Content {
+  const instances = blackboard.reader(registeredInstancesEntry)
+  const databases = blackboard.reader(registeredDatabasesEntry)
+  const weights = blackboard.reader(databaseWeightsEntry)
+  const holders = blackboard.reader(holdersEntry)
+  const switching = blackboard.reader(switchingGroupsEntry)
+  const state = blackboard.reader(replicatedStateEntry)
+
+  function groupsOf (): DirectoryGroup[] {
+    const { manifest, groups } = state.read()
+    const replicated = new Map(groups.map((group) => [group.group, group]))
+    const configured = (manifest?.groups ?? []).map(({ id }) => id)
+    return configured.sort().map((group) => {
+      const known = replicated.get(group)
+      // A group without a first primary is published as electing, so that nobody acknowledges writes.
+      const { term, primary, phase } = known ?? { term: 0, primary: null, phase: 'electing' as const }
+      return { group, term, primary, phase: phase === 'serving' && switching.read().has(group) ? 'switching' : phase, holders: [...(holders.read().get(group) ?? [])] }
+    })
+  }
+
+  function databasesOf (groups: ReadonlySet<GroupId>): DirectoryDatabase[] {
+    const listed = [...databases.read().values()].filter(({ announcement }) => groups.has(announcement.group))
+    return sortBy(listed.map(({ announcement: { database, group, address, failureDomain } }) => ({
+      database, group, address, failureDomain, weight: weights.read().get(database) ?? 0
+    })), ({ database }) => database)
+  }
+
+  function instancesOf (): DirectoryInstance[] {
+    const listed = [...instances.read().values()].map(({ instance, incarnation, peerAddress, failureDomain, draining }) => ({ instance, incarnation, peerAddress, failureDomain, draining }))
+    return sortBy(listed, ({ instance }) => instance)
+  }
+
+  return () => {
+    const groups = groupsOf()
+    return { instances: instancesOf(), groups, databases: databasesOf(new Set(groups.map(({ group }) => group))) }
+  }
+}
+
+function sortBy<Item> (items: Item[], nameOf: (item: Item) => string): Item[] {
+  return items.sort((left, right) => nameOf(left) < nameOf(right) ? -1 : 1)
+}
+
+function isSameContent (left: Content, right: Content): boolean {
+  return isSameList(left.groups, right.groups, isSameGroup) &&
+    isSameList(left.databases, right.databases, isSameRecord) &&
+    isSameList(left.instances, right.instances, isSameRecord)
+}
+
+function isSameList<Item> (left: readonly Item[], right: readonly Item[], isSame: (left: Item, right: Item) => boolean): boolean {
+  return left.length === right.length && left.every((item, index) => isSame(item, right[index] as Item))
+}
+
+function isSameGroup (left: DirectoryGroup, right: DirectoryGroup): boolean {
+  return left.group === right.group && left.term === right.term && left.primary === right.primary && left.phase === right.phase &&
+    isSameList(left.holders, right.holders, Object.is)
+}
+
+function isSameRecord<Item extends object> (left: Item, right: Item): boolean {
+  return (Object.keys(left) as (keyof Item)[]).every((key) => left[key] === right[key])
+}
--- /dev/null
+++ b/src/decisions/membership/holder-placement.ts
@@ -0,0 +1,124 @@
+import type { FailureDomainId, GroupId, InstanceId } from '../../types/ids.js'
+
+/** Holders named for each group. */
+export const MAX_HOLDERS = 3
+
+/** An instance that may be a holder: in service and not draining. */
+export interface HolderCandidate {
+  instance: InstanceId
+  failureDomain: FailureDomainId
+}
+
+/**
+ * - `adopt`: keeps reported holders and adds none
+ * - `fill-empty`: also names holders for groups without any
+ * - `full`: names up to three holders and balances them
+ */
+export type PlacementMode = 'adopt' | 'fill-empty' | 'full'
+
+export interface PlacementRequest {
+  groups: readonly GroupId[]
+  candidates: readonly HolderCandidate[]
+  /** Holders so far; groups that are absent had none. */
+  current: ReadonlyMap<GroupId, readonly InstanceId[]>
+  mode: PlacementMode
+}
+
+interface PlacedInstance extends HolderCandidate {
+  groups: number
+}
+
+/**
+ * Names up to three holders for each group, in different failure domains as long as there are enough.
+ * Holders that may stay do stay. Afterwards single holders move from an instance to another one with at least two groups fewer,
+ * at most one holder of a group in one call, so that each group keeps most of its holders.
+ *
+ * Cost: filling a place scans all instances, so the first placement takes groups x 3 x instances steps;
+ * a call without a change takes one pass over groups and instances.
+ * @returns holders per group, in a stable order
+ */
+export function placeHolders (request: PlacementRequest): Map<GroupId, readonly InstanceId[]> {
+  const { mode, current } = request
+  const groups = [...request.groups].sort(compareNames)
+  const pool = createPool(request.candidates)
+  const placed = new Map<GroupId, PlacedInstance[]>()
+  const disturbed = new Set<GroupId>()
+  for (const group of groups) placed.set(group, keepHolders(current.get(group) ?? [], pool))
+  for (const group of groups) {
+    const holders = placed.get(group) ?? []
+    if (mode === 'full' ? fill(holders, pool, MAX_HOLDERS) : mode === 'fill-empty' && holders.length === 0 && fill(holders, pool, 1)) disturbed.add(group)
+  }
+  if (mode === 'full') balance(placed, pool, disturbed)
+  return new Map([...placed].map(([group, holders]) => [group, holders.map(({ instance }) => instance)]))
+}
+
+interface Pool {
+  byId: ReadonlyMap<InstanceId, PlacedInstance>
+  /** Ordered by name, so that ties break the same way at every leader. */
+  ordered: readonly PlacedInstance[]
+  domains: number
+}
+
+function createPool (candidates: readonly HolderCandidate[]): Pool {
+  const ordered = [...candidates].sort((left, right) => compareNames(left.instance, right.instance)).map((candidate) => ({ ...candidate, groups: 0 }))
+  return { ordered, byId: new Map(ordered.map((instance) => [instance.instance, instance])), domains: new Set(ordered.map(({ failureDomain }) => failureDomain)).size }
+}
+
+/** Keeps candidates; a second one of a failure domain stays only if there are too few failure domains to replace it. */
+function keepHolders (current: readonly InstanceId[], pool: Pool): PlacedInstance[] {
+  const possible = current.map((instance) => pool.byId.get(instance)).filter((instance) => instance !== undefined)
+  const firstOfDomain = possible.filter((instance, index) => possible.findIndex(({ failureDomain }) => failureDomain === instance.failureDomain) === index)
+  const others = possible.filter((instance) => !firstOfDomain.includes(instance))
+  const spare = Math.max(0, MAX_HOLDERS - Math.max(pool.domains, firstOfDomain.length))
+  const kept = [...firstOfDomain.slice(0, MAX_HOLDERS), ...others.slice(0, spare)]
+  for (const holder of kept) holder.groups++
+  return kept
+}
+
+function fill (holders: PlacedInstance[], pool: Pool, wanted: number): boolean {
+  let filled = false
+  while (holders.length < wanted) {
+    const chosen = leastLoaded(pool, (instance) => !holders.some(({ failureDomain }) => failureDomain === instance.failureDomain)) ??
+      leastLoaded(pool, (instance) => !holders.includes(instance))
+    if (chosen === undefined) return filled
+    chosen.groups++
+    holders.push(chosen)
+    filled = true
+  }
+  return filled
+}
+
+function leastLoaded (pool: Pool, allowed: (instance: PlacedInstance) => boolean): PlacedInstance | undefined {
+  let best: PlacedInstance | undefined
+  for (const instance of pool.ordered) {
+    if (best !== undefined && instance.groups >= best.groups) continue
+    if (allowed(instance)) best = instance
+  }
+  return best
+}
+
+function balance (placed: Map<GroupId, PlacedInstance[]>, pool: Pool, disturbed: Set<GroupId>): void {
+  let lowest = Math.min(...pool.ordered.map(({ groups }) => groups))
+  for (const [group, holders] of placed) {
+    if (disturbed.has(group)) continue
+    const from = holders.reduce<PlacedInstance | undefined>((most, holder) => most === undefined || holder.groups > most.groups ? holder : most, undefined)
+    if (from === undefined || from.groups - lowest < 2) continue
+    const to = leastLoaded(pool, (instance) => isReplacement(instance, from, holders))
+    if (to === undefined || from.groups - to.groups < 2) continue
+    from.groups--
+    to.groups++
+    holders[holders.indexOf(from)] = to
+    lowest = Math.min(...pool.ordered.map(({ groups }) => groups))
+  }
+}
+
+function isReplacement (instance: PlacedInstance, from: PlacedInstance, holders: readonly PlacedInstance[]): boolean {
+  if (holders.includes(instance)) return false
+  if (instance.failureDomain === from.failureDomain) return true
+  return !holders.some((holder) => holder !== from && holder.failureDomain === instance.failureDomain)
+}
+
+function compareNames (left: string, right: string): number {
+  if (left === right) return 0
+  return left < right ? -1 : 1
+}
--- /dev/null
+++ b/src/decisions/membership/instance-registry.ts
@@ -0,0 +1,104 @@
+import type { Blackboard } from '../../blackboard/blackboard.js'
+import { registeredInstancesEntry } from '../../blackboard/control-instance-entries.js'
+import type { HolderObservation, RegisteredInstance } from '../../blackboard/control-instance-entries.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import type { Heartbeat } from '../../types/control-message.js'
+import type { DatabaseId, InstanceId } from '../../types/ids.js'
+import { FRESHNESS_LEASE_END_MS } from '../../types/lease.js'
+import { createRetiredIncarnations } from './retired-incarnations.js'
+
+export interface InstanceRegistryOptions {
+  blackboard: Blackboard
+  clock: Clock
+  /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
+  lostAfterMs?: number
+}
+
+/**
+ * - `joined`: first heartbeat of this incarnation, or the first after it was lost
+ * - `changed`: address, failure domain or draining changed
+ * - `ignored`: replaced incarnation, or a heartbeat that was delayed or doubled
+ */
+export type HeartbeatOutcome = 'joined' | 'changed' | 'unchanged' | 'ignored'
+
+/** Instances as their heartbeats describe them. */
+export interface InstanceRegistry {
+  handle: (heartbeat: Heartbeat) => HeartbeatOutcome
+  /** @returns instances that are lost since the last call */
+  tick: () => RegisteredInstance[]
+  /** Forgets everything; called at each change of leadership. */
+  reset: () => void
+}
+
+/** Creates the registry; it writes `registeredInstancesEntry`. */
+export function createInstanceRegistry (options: InstanceRegistryOptions): InstanceRegistry {
+  const { blackboard, clock } = options
+  const lostAfterMs = options.lostAfterMs ?? FRESHNESS_LEASE_END_MS
+  const entry = blackboard.claim(registeredInstancesEntry, 'instance-registry')
+  const retired = createRetiredIncarnations<InstanceId>()
+  let instances = new Map<InstanceId, RegisteredInstance>()
+  entry.write(instances)
+
+  function handle (heartbeat: Heartbeat): HeartbeatOutcome {
+    const known = instances.get(heartbeat.instance)
+    // Once the newer incarnation is lost, the older one is taken back: it may have been retired by a message that came late.
+    if (known === undefined) retired.remove(heartbeat.instance, heartbeat.incarnation)
+    if (retired.has(heartbeat.instance, heartbeat.incarnation)) return 'ignored'
+    const sameRun = known?.incarnation === heartbeat.incarnation
+    if (known !== undefined && sameRun && heartbeat.sequence <= known.sequence) return 'ignored'
+    if (known !== undefined && !sameRun) retired.add(known.instance, known.incarnation)
+    const registered = register(heartbeat, clock.now())
+    instances.set(heartbeat.instance, registered)
+    entry.write(instances)
+    if (known === undefined || !sameRun) return 'joined'
+    return isSamePlace(known, registered) ? 'unchanged' : 'changed'
+  }
+
+  function tick (): RegisteredInstance[] {
+    const oldest = clock.now() - lostAfterMs
+    const lost = [...instances.values()].filter((instance) => instance.lastHeartbeatAt < oldest)
+    for (const { instance } of lost) instances.delete(instance)
+    if (lost.length > 0) entry.write(instances)
+    return lost
+  }
+
+  function reset (): void {
+    instances = new Map()
+    entry.write(instances)
+  }
+
+  return { handle, tick, reset }
+}
+
+function register (heartbeat: Heartbeat, now: Milliseconds): RegisteredInstance {
+  const { instance, incarnation, peerAddress, failureDomain, draining, sequence, manifestVersion, directoryVersion, releasedTerms } = heartbeat
+  return {
+    instance,
+    incarnation,
+    peerAddress,
+    failureDomain,
+    draining,
+    sequence,
+    lastHeartbeatAt: now,
+    manifestVersion,
+    directoryVersion,
+    releasedTerms,
+    observations: new Map(heartbeat.observations.map(({ database, status, silentForMs }): [DatabaseId, HolderObservation] => [database, { status, silentForMs, arrivedAt: now }])),
+    heldDatabases: heldDatabases(heartbeat)
+  }
+}
+
+const DATABASE_RESOURCE = /^(?:slots|connections):(.*)$/s
+
+function heldDatabases (heartbeat: Heartbeat): ReadonlySet<DatabaseId> {
+  const databases = new Set<DatabaseId>()
+  for (const share of heartbeat.held) {
+    const name = DATABASE_RESOURCE.exec(share.resource)?.[1]
+    if (name !== undefined && share.amount > 0) databases.add(name as DatabaseId)
+  }
+  return databases
+}
+
+function isSamePlace (left: RegisteredInstance, right: RegisteredInstance): boolean {
+  return left.peerAddress === right.peerAddress && left.failureDomain === right.failureDomain && left.draining === right.draining
+}
--- /dev/null
+++ b/src/types/lease.ts
@@ -0,0 +1,8 @@
+/** Length of a freshness lease on the clock of the instance that holds it, in ms. */
+export const FRESHNESS_LEASE_MS = 1500
+
+/**
+ * Time after which a freshness lease has run out on any other clock, in ms.
+ * The lease starts before the heartbeat arrives, and two clocks drift apart by at most 1%.
+ */
+export const FRESHNESS_LEASE_END_MS = FRESHNESS_LEASE_MS * 1.01
