--- a/stand-ins/database/client-connection.ts
+++ b/stand-ins/database/client-connection.ts
@@ -64,15 +64,23 @@
   }
 
   function pushError (error: unknown): void {
+    // Also an error outside of a running statement, such as one of the syntax, ends an open transaction.
+    session.fail()
     const known = error instanceof SqlError ? error : new SqlError(sqlStates.internal, error instanceof Error ? error.message : String(error))
     output.push(backendMessages.error('ERROR', known.sqlState, known.message))
   }
 
+  function cut (): void {
+    // Statements that arrived in the same packet would still run before the close event of the socket.
+    session.end()
+    wire.destroy()
+  }
+
   async function run (parsed: ParsedStatement, values: readonly (string | null)[]): Promise<StatementResult> {
     if (parsed.statement.kind !== 'call') delayable = true
-    if (core.faults.takeCut(parsed.text, 'before')) wire.destroy()
+    if (core.faults.takeCut(parsed.text, 'before')) cut()
     const result = await session.execute(parsed, values)
-    if (core.faults.takeCut(parsed.text, 'after')) wire.destroy()
+    if (core.faults.takeCut(parsed.text, 'after')) cut()
     return result
   }
 
--- a/stand-ins/database/database-stand-in.ts
+++ b/stand-ins/database/database-stand-in.ts
@@ -16,6 +16,8 @@
   openConnections: number
   highestConnections: number
   totalConnections: number
+  /** Answers to batches or simple queries, without those to status calls alone. */
+  answers: number
 }
 
 /** A database that speaks the PostgreSQL protocol and replicates within its group. */
@@ -130,7 +132,7 @@
       departing = next
       announcer?.announceNow()
     },
-    counts: () => ({ slots: core.slots.counts(), openConnections: counter.open, highestConnections: counter.highest, totalConnections: counter.total }),
+    counts: () => ({ slots: core.slots.counts(), openConnections: counter.open, highestConnections: counter.highest, totalConnections: counter.total, answers: core.faults.answers() }),
     history: () => core.history?.list() ?? [],
     log: () => core.log.entriesAfter(0, core.log.position().offset),
     value: (workspace, key) => core.log.data().value(workspace, key),
--- a/stand-ins/database/fault-switches.ts
+++ b/stand-ins/database/fault-switches.ts
@@ -15,8 +15,8 @@
   thaw: () => void
   /** Adds a delay in ms to all traffic in each direction; 0 ends it. */
   slow: (addedMs: number) => void
-  /** Delays the next `count` answers by `delayMs`; status calls are not counted. */
-  delayAnswers: (count: number, delayMs: number) => void
+  /** Delays the next `count` answers by `delayMs`, after `skip` (default 0) that are not delayed; status calls are not counted. */
+  delayAnswers: (count: number, delayMs: number, skip?: number) => void
   /** Established connections get and take nothing any more; new ones work. */
   silenceConnections: () => void
   pauseReplication: () => void
--- a/stand-ins/database/session.ts
+++ b/stand-ins/database/session.ts
@@ -23,6 +23,8 @@
 export interface SqlSession {
   /** @throws SqlError */
   execute: (parsed: ParsedStatement, values: readonly (string | null)[]) => Promise<StatementResult>
+  /** Aborts an open transaction; it takes nothing but its end any more. */
+  fail: () => void
   transactionStatus: () => 'I' | 'T' | 'E'
   /** Rolls back and lets nothing run any more. */
   end: () => void
@@ -161,6 +163,12 @@
     }
   }
 
+  function fail (): void {
+    if (transaction === null) return
+    failed = true
+    discard(transaction)
+  }
+
   async function execute (parsed: ParsedStatement, values: readonly (string | null)[]): Promise<StatementResult> {
     requireOpen()
     const ends = parsed.statement.kind === 'commit' || parsed.statement.kind === 'rollback'
@@ -170,16 +178,14 @@
       requireOpen()
       return result
     } catch (error) {
-      if (transaction !== null) {
-        failed = true
-        discard(transaction)
-      }
+      fail()
       throw error
     }
   }
 
   return {
     execute,
+    fail,
     transactionStatus: () => {
       if (transaction === null) return 'I'
       return failed ? 'E' : 'T'
