coordinator: ask for a heartbeat when shares changed

An instance takes the answer to each heartbeat once, so a repeated answer never reached the share holder. The coordinator now sends heartbeat-request.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -28,9 +28,6 @@
 import { createLostInstances } from './lost-instances.js'
 import { shareResources } from './share-resources.js'
 
-/** A heartbeat answer is repeated for changed shares only while the heartbeat is younger than this, in ms: its interval. */
-const REPEATABLE_ANSWER_MS = 500
-
 export interface CoordinatorOptions {
   clock: Clock
   log: ControlLog
@@ -239,17 +236,15 @@
     runEffects(failover.tick())
     publishSwitches()
     allocator.tick()
-    repeatAnswers()
+    requestHeartbeats()
     leadership.tick()
   }
 
-  /** There is no message that asks for a heartbeat. The last answer is given again with the changed shares instead, after a new round. */
-  function repeatAnswers (): void {
+  /** Shares are granted in answers only, so an instance whose shares changed is asked for a heartbeat at once. */
+  function requestHeartbeats (): void {
     for (const instance of allocator.takeChanged()) {
       const connection = connections.ofInstance(instance)
-      const registered = entries.instances.read().get(instance)
-      if (connection === undefined || registered === undefined || clock.now() - registered.lastHeartbeatAt >= REPEATABLE_ANSWER_MS) continue
-      leadership.confirm(connection.name, connection)
+      if (connection !== undefined) send(connection.name, { version: 1, kind: 'heartbeat-request' })
     }
   }
 
