--- a/src/adapters/http/probe-server.ts
+++ b/src/adapters/http/probe-server.ts
@@ -2,14 +2,11 @@
 import type { LogEvent } from '../../types/log-event.js'
 import { refuseUnmatched } from './refuse-unmatched.js'
 
-/** Why an instance is not ready; null when it is. */
-export type NotReadyReason = 'no-manifest' | 'not-fresh' | 'draining' | 'failure-domain-out' | null
-
 export interface ProbeServerOptions {
   host: string
   port: number
-  /** @returns the state that the balancer's probe sees */
-  notReadyReason: () => NotReadyReason
+  /** @returns why the balancer should send no callers here; null when it may */
+  notReadyReason: () => string | null
   renderMetrics: () => Promise<{ contentType: string, text: string }>
   logEvent: LogEvent
 }
--- a/src/entry/status-watcher.ts
+++ b/src/entry/status-watcher.ts
@@ -23,6 +23,8 @@
   /** Watches exactly these databases. */
   setDatabases: (databases: readonly DirectoryDatabase[]) => void
   observations: () => DatabaseObservation[]
+  /** Sets the listener that is called after each status. */
+  onStatus: (listener: () => void) => void
   close: () => void
 }
 
@@ -39,6 +41,7 @@
   const { clock, logEvent } = options
   const entry = options.blackboard.claim(observedDatabasesEntry, 'status-watcher')
   const watched = new Map<DatabaseId, Watched>()
+  let statusListener: () => void = () => {}
 
   function observe (database: DatabaseId, status: DatabaseStatus, askedAt: number): void {
     const known = watched.get(database)
@@ -50,6 +53,7 @@
     const next = new Map(entry.read())
     next.set(database, { database, status, observedAt: milliseconds(askedAt) })
     entry.write(next)
+    statusListener()
     if (isChange) options.onChange()
   }
 
@@ -94,6 +98,7 @@
       status,
       silentForMs: Math.round(clock.now() - (answeredAt ?? startedAt))
     })),
+    onStatus: (listener) => { statusListener = listener },
     close: () => {
       for (const [database, known] of [...watched]) stop(database, known)
     }
