operator: publish JSON Schemas and field tables, locate problems by line

The build pipeline that generates manifests and settings had no schema to check against, and problems named no line. Schemas and tables of fields are generated from the zod schemas by npm run docs:tables and held by a test.

--- /dev/null
+++ b/src/reports/settings-page.ts
@@ -0,0 +1,22 @@
+import { fieldTable } from './field-table.js'
+import type { PublishedSchema } from './published-schemas.js'
+import { publishedSchemas } from './published-schemas.js'
+
+function section ({ title, file, schema }: PublishedSchema): string {
+  return `## ${title}
+
+JSON Schema: \`${file}\`.
+
+${fieldTable(schema)}`
+}
+
+/** @returns the text of docs/settings.md */
+export function settingsPage (): string {
+  const { entry, control, operator } = publishedSchemas
+  return `# Settings
+
+Generated from the schemas in \`src/settings\` by \`npm run docs:tables\`; a test holds the page to them.
+Settings are JSON files. \`catkinrelay settings check FILE --kind entry\` or \`--kind control\` checks one without starting an instance. Fields that are not listed are refused.
+
+${[entry, control, operator].map(section).join('\n')}`
+}
--- a/src/settings/check-manifest.ts
+++ b/src/settings/check-manifest.ts
@@ -1,8 +1,9 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { Manifest } from '../types/manifest.js'
+import type { LineOf } from '../utils/parse-json.js'
 import type { CheckProblem } from './check-problem.js'
-import { problemsOf } from './check-problem.js'
+import { problemsOf, splitPath } from './check-problem.js'
 import { manifestSchema } from './manifest-schema.js'
 
 function findRepeated (values: readonly string[], pathOf: (index: number) => string): CheckProblem[] {
@@ -42,11 +43,13 @@
 /**
  * Checks a parsed manifest.
  * @param document - any JSON value
+ * @param lineOf - finds lines in the file that the document was read from
  * @returns the manifest with defaults filled in, or every problem found
  */
-export function checkManifest (document: unknown): Result<Manifest, CheckProblem[]> {
+export function checkManifest (document: unknown, lineOf?: LineOf): Result<Manifest, CheckProblem[]> {
   const parsed = manifestSchema.safeParse(document)
-  if (!parsed.success) return err(problemsOf(parsed.error.issues))
+  if (!parsed.success) return err(problemsOf(parsed.error.issues, lineOf))
   const problems = findProblems(parsed.data)
-  return problems.length === 0 ? ok(parsed.data) : err(problems)
+  if (problems.length === 0) return ok(parsed.data)
+  return err(lineOf === undefined ? problems : problems.map((problem) => ({ ...problem, line: lineOf(splitPath(problem.path)) })))
 }
--- a/src/settings/common-schema.ts
+++ b/src/settings/common-schema.ts
@@ -8,6 +8,12 @@
 
 export const addressSchema = z.string().regex(/^[^\s:]+:\d{1,5}$/, 'expected host:port')
 
+/** Key files of an HTTPS server. */
+export const keyPairSchema = z.strictObject({
+  keyFile: z.string().min(1).describe('PEM file of the private key.'),
+  certificateFile: z.string().min(1).describe('PEM file of the certificate chain.')
+})
+
 export const tlsSchema = z.strictObject({
   keyFile: z.string().min(1).describe('PEM file of the private key.'),
   certificateFile: z.string().min(1).describe('PEM file of the certificate chain.'),
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 import { address, instanceId } from '../types/ids.js'
-import { addressSchema, databaseCredentialsSchema, listenSchema, logSchema, secretSchema, tlsSchema } from './common-schema.js'
+import { addressSchema, databaseCredentialsSchema, keyPairSchema, listenSchema, logSchema, secretSchema, tlsSchema } from './common-schema.js'
 
 const operatorSchema = z.strictObject({
   name: z.string().min(1).describe('Name of the operator, as it appears in reports.'),
@@ -16,7 +16,7 @@
   operators: listenSchema.describe('HTTP address for operators.'),
   operatorAddress: addressSchema.transform(address).optional().describe('host:port under which operators reach `operators`; default: the listening address.'),
   operatorCredentials: z.array(operatorSchema).min(1).describe('Operators that may commit manifests and read reports.'),
-  operatorsTls: z.strictObject({ keyFile: z.string().min(1), certificateFile: z.string().min(1) }).optional().describe('Key files for HTTPS to operators; absent: plain HTTP.'),
+  operatorsTls: keyPairSchema.optional().describe('Key files for HTTPS to operators; absent: plain HTTP.'),
   dataFolder: z.string().min(1).describe('Folder of the durable state.'),
   clusterSecret: secretSchema.describe('Secret shared by all instances of the deployment.'),
   database: databaseCredentialsSchema.describe('Credentials of the system at the databases.'),
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 import { failureDomainId, instanceId, address } from '../types/ids.js'
-import { addressSchema, databaseCredentialsSchema, listenSchema, logSchema, secretSchema, tlsSchema } from './common-schema.js'
+import { addressSchema, databaseCredentialsSchema, keyPairSchema, listenSchema, logSchema, secretSchema, tlsSchema } from './common-schema.js'
 
 const limitsSchema = z.strictObject({
   bodyBytes: z.int().min(1024).default(1024 * 1024).describe('Largest request body in bytes; default 1 MiB.'),
@@ -16,7 +16,7 @@
   instance: z.string().min(1).transform(instanceId).describe('Name of the instance; unique in the deployment and stable over restarts.'),
   failureDomain: z.string().min(1).transform(failureDomainId).describe('Failure domain that the instance runs in.'),
   callers: listenSchema.describe('HTTP address for callers and database announcements.'),
-  callersTls: z.strictObject({ keyFile: z.string().min(1), certificateFile: z.string().min(1) }).optional().describe('Key files for HTTPS to callers; absent: plain HTTP.'),
+  callersTls: keyPairSchema.optional().describe('Key files for HTTPS to callers; absent: plain HTTP.'),
   operators: listenSchema.describe('HTTP address for health, readiness and metrics.'),
   peers: listenSchema.describe('Address for other instances of the system.'),
   peerAddress: addressSchema.transform(address).optional().describe('host:port under which other instances reach `peers`; default: the listening address.'),
--- a/src/settings/manifest-schema.ts
+++ b/src/settings/manifest-schema.ts
@@ -16,7 +16,7 @@
 })
 
 const workspace = z.strictObject({
-  id: name.transform(workspaceId),
+  id: name.transform(workspaceId).describe('Name of the workspace.'),
   group: name.transform(groupId).describe('Database group that holds the data of the workspace.'),
   rate: z.number().positive().describe('Requests per second over all instances together.'),
   burst: z.number().min(1).describe('Requests that may come at once over all instances together.'),
@@ -26,29 +26,29 @@
 })
 
 const group = z.strictObject({
-  id: name.transform(groupId),
+  id: name.transform(groupId).describe('Name of the database group, as its databases announce it.'),
   slots: z.int().min(1).describe('Statements that each database runs at a time.'),
   connections: z.int().min(4).describe('Connections that each database accepts from catkinrelay.')
 })
 
 const route = z.strictObject({
-  name,
-  workspace: name.transform(workspaceId),
+  name: name.describe('Name of the route in its path.'),
+  workspace: name.transform(workspaceId).describe('Workspace that the statement runs for.'),
   statement: z.string().min(1).describe('SQL statement with numbered parameters.'),
-  access: z.enum(['read', 'write']),
+  access: z.enum(['read', 'write']).describe('Whether the statement reads or writes.'),
   open: z.boolean().default(false).describe('Whether the route needs no key; default false.')
 })
 
 const failureDomain = z.strictObject({
-  id: name.transform(failureDomainId),
+  id: name.transform(failureDomainId).describe('Name of the failure domain, as instances and databases state it.'),
   state: z.enum(['in', 'out']).default('in').describe('`out`: gets no new work; default `in`.')
 })
 
 /** Shape of a manifest; `checkManifest` adds the checks across fields. */
 export const manifestSchema = z.strictObject({
-  formatVersion: z.literal(1),
-  failureDomains: z.array(failureDomain).min(1),
-  groups: z.array(group).min(1),
-  workspaces: z.array(workspace),
-  routes: z.array(route).default([])
+  formatVersion: z.literal(1).describe('Version of the manifest format.'),
+  failureDomains: z.array(failureDomain).min(1).describe('Failure domains and whether they get work.'),
+  groups: z.array(group).min(1).describe('Database groups and what each of their databases can take.'),
+  workspaces: z.array(workspace).describe('Workspaces with their limits and keys.'),
+  routes: z.array(route).prefault([]).describe('Statements that callers run by name; default none.')
 })
--- a/test/docs/tables.test.ts
+++ b/test/docs/tables.test.ts
@@ -1,7 +1,11 @@
 import { readFileSync } from 'node:fs'
 import t from 'tap'
 import { eventPage } from '../../src/reports/event-page.js'
+import { fieldRows } from '../../src/reports/field-table.js'
+import { manifestPage } from '../../src/reports/manifest-page.js'
+import { publishedSchemas, schemaText } from '../../src/reports/published-schemas.js'
 import { resultCodePage } from '../../src/reports/result-code-page.js'
+import { settingsPage } from '../../src/reports/settings-page.js'
 import { logEvents } from '../../src/types/log-event.js'
 import { resultCodes } from '../../src/types/result-code.js'
 
@@ -19,3 +23,15 @@
   t.equal(new Set(codes).size, codes.length)
   t.equal(new Set(events).size, events.length)
 })
+
+t.test('docs/manifest.md and docs/settings.md are generated from the code, so that they can not fall behind', async (t) => {
+  t.equal(readFileSync('docs/manifest.md', 'utf8'), manifestPage())
+  t.equal(readFileSync('docs/settings.md', 'utf8'), settingsPage())
+})
+
+for (const published of Object.values(publishedSchemas)) {
+  t.test(`${published.file} is generated from the code, and each of its fields is described`, async (t) => {
+    t.equal(readFileSync(published.file, 'utf8'), schemaText(published))
+    t.same(fieldRows(published.schema).filter((row) => row.description === ''), [])
+  })
+}
