operator: HTTP interface, service and reports of a control instance

Operators commit manifests and read reports over HTTP. Each report proves its freshness by a majority first and lists nothing as in force without it. A commit that no majority answers in time has an unknown outcome.

--- /dev/null
+++ b/src/adapters/http/operator-server.ts
@@ -0,0 +1,112 @@
+import { readFileSync } from 'node:fs'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { fastify } from 'fastify'
+import type { Result } from 'neverthrow'
+import { z } from 'zod'
+import type { LogEvent } from '../../types/log-event.js'
+import type { CommitAnswer, ManifestAnswer, OperatorRefusal } from '../../types/operator-answer.js'
+import type { OperatorReport, ReportName } from '../../types/operator-report.js'
+import { refuse, resultCodeEntry } from '../../types/result-code.js'
+import type { OperatorCredential } from './find-operator.js'
+import { findOperator } from './find-operator.js'
+import { takeJsonBodies } from './json-body.js'
+import { parseBody } from './parse-caller-request.js'
+import { refuseUnmatched } from './refuse-unmatched.js'
+import { sendRefusal } from './send-outcome.js'
+
+/** A page made of reports holds its own styles and drawings, loads nothing and runs nothing. */
+const PAGE_POLICY = "default-src 'none'; style-src 'unsafe-inline'; frame-ancestors 'none'; base-uri 'none'; form-action 'none'"
+
+/** What the server asks of the control instance. */
+export interface OperatorRequests {
+  commit: (operator: string, base: number, document: unknown) => Promise<Result<CommitAnswer, OperatorRefusal>>
+  manifest: () => Promise<Result<ManifestAnswer, OperatorRefusal>>
+  report: (name: ReportName | 'status') => Promise<OperatorReport>
+  /** @returns the burn report as one HTML page */
+  page: () => Promise<string>
+}
+
+export interface OperatorServerOptions {
+  host: string
+  port: number
+  tls: { keyFile: string, certificateFile: string } | null
+  /** Largest request body in bytes. */
+  manifestBytes: number
+  operators: readonly OperatorCredential[]
+  requests: OperatorRequests
+  logEvent: LogEvent
+}
+
+export interface OperatorServer {
+  readonly port: number
+  /** Reads the key files again; open connections stay. */
+  reloadTls: () => void
+  /** Stops listening, lets running requests finish and ends idle connections. */
+  close: () => Promise<void>
+}
+
+const commitBody = z.strictObject({
+  base: z.int().min(0),
+  manifest: z.unknown()
+})
+
+const REPORTS: readonly ReportName[] = ['in-force', 'burn', 'workspaces', 'failure-domains', 'incidents']
+
+function readPair (tls: { keyFile: string, certificateFile: string }): { key: Buffer, cert: Buffer } {
+  return { key: readFileSync(tls.keyFile), cert: readFileSync(tls.certificateFile) }
+}
+
+function send<Answer> (reply: FastifyReply, answer: Result<Answer, OperatorRefusal>): FastifyReply {
+  if (answer.isOk()) return reply.send(answer.value)
+  const { code, outcome, message, retryAfterMs, leaderAddress, problems, conflict } = answer.error
+  const { status, name } = resultCodeEntry(code)
+  return reply.code(status).send({ code, name, outcome, message, retryAfterMs, leaderAddress, problems, conflict })
+}
+
+/**
+ * Serves operators over HTTP. Every path needs an operator credential.
+ * @throws Error when the address can't be used
+ */
+export async function listenForOperators (options: OperatorServerOptions): Promise<OperatorServer> {
+  const { requests } = options
+  const app = fastify({
+    ...(options.tls === null ? {} : { https: readPair(options.tls) }),
+    bodyLimit: options.manifestBytes,
+    forceCloseConnections: 'idle',
+    exposeHeadRoutes: false
+  }) as FastifyInstance
+  takeJsonBodies(app)
+  const operators = new WeakMap<FastifyRequest, string>()
+
+  // Runs before the body is read, so that only operators can make an instance take in a large one.
+  app.addHook('onRequest', async (request, reply) => {
+    reply.header('cache-control', 'no-store')
+    const operator = findOperator(request.headers.authorization, options.operators)
+    if (operator === null) return sendRefusal(reply, refuse('operatorRefused', 'not-run', 'the operator credential is missing or wrong'))
+    operators.set(request, operator)
+  })
+
+  app.post('/v1/manifest', async (request, reply) => {
+    const body = parseBody(commitBody, request.body)
+    if (body.isErr()) return sendRefusal(reply, body.error)
+    return send(reply, await requests.commit(operators.get(request) ?? '', body.value.base, body.value.manifest))
+  })
+  app.get('/v1/manifest', async (_request, reply) => send(reply, await requests.manifest()))
+  app.get('/v1/status', async () => await requests.report('status'))
+  for (const name of REPORTS) app.get(`/v1/reports/${name}`, async () => await requests.report(name))
+  app.get('/v1/reports/page', async (_request, reply) => {
+    reply.header('content-security-policy', PAGE_POLICY)
+    return await reply.type('text/html; charset=utf-8').send(await requests.page())
+  })
+  refuseUnmatched(app, options.logEvent)
+
+  await app.listen({ host: options.host, port: options.port })
+  const listening = app.server.address()
+  return {
+    port: typeof listening === 'object' && listening !== null ? listening.port : options.port,
+    reloadTls: () => {
+      if (options.tls !== null && 'setSecureContext' in app.server) (app.server as { setSecureContext: (pair: unknown) => void }).setSecureContext(readPair(options.tls))
+    },
+    close: async () => { await app.close() }
+  }
+}
--- /dev/null
+++ b/src/control/operator-service.ts
@@ -0,0 +1,136 @@
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import { checkManifest } from '../settings/check-manifest.js'
+import type { CheckProblem } from '../settings/check-problem.js'
+import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
+import type { ControlSummary } from '../types/control-summary.js'
+import type { InstanceId } from '../types/ids.js'
+import type { LogEvent } from '../types/log-event.js'
+import type { CommitAnswer, ManifestAnswer, OperatorRefusal } from '../types/operator-answer.js'
+import type { BurnReport, Incident, OperatorReport, ReportFreshness, ReportHead, ReportName } from '../types/operator-report.js'
+import type { ReplicatedState } from '../types/replicated-state.js'
+import { refuse } from '../types/result-code.js'
+import { contentDigest } from '../utils/content-digest.js'
+import { showManifest } from '../utils/show-manifest.js'
+import { failureDomainsReport } from '../reports/failure-domains-report.js'
+import { inForceReport } from '../reports/in-force-report.js'
+import { statusReport } from '../reports/status-report.js'
+import { workspacesReport } from '../reports/workspaces-report.js'
+
+/** Time for a majority to answer a commit or a freshness round, in milliseconds. */
+const DEFAULT_ANSWER_MS = 5000
+
+/** Burn rows as the service-level aggregator computes them. */
+export type BurnContents = Pick<BurnReport, 'rows' | 'withoutObjectives'>
+
+export interface OperatorServiceOptions {
+  /** Name of this control instance. */
+  instance: InstanceId
+  log: ControlLog
+  summary: () => ControlSummary
+  /** @returns burn of the workspaces that the state's manifest lists */
+  burn: (state: ReplicatedState) => BurnContents
+  /** @returns incidents, newest first, and how many were dropped */
+  incidents: () => { incidents: Incident[], dropped: number }
+  /** Calls back once after a time in milliseconds; returns a function that prevents the call. */
+  after: (durationMs: number, callback: () => void) => () => void
+  timeOfDay: () => Date
+  logEvent: LogEvent
+  /** Time for a majority to answer in milliseconds; default 5,000. */
+  answerMs?: number
+}
+
+/** What operators ask of a control instance. */
+export interface OperatorService {
+  /** Commits a manifest on top of version `base`. Safe to repeat. */
+  commit: (operator: string, base: number, document: unknown) => Promise<Result<CommitAnswer, OperatorRefusal>>
+  manifest: () => Promise<Result<ManifestAnswer, OperatorRefusal>>
+  report: (name: ReportName | 'status') => Promise<OperatorReport>
+}
+
+/** @returns the service behind the operators' HTTP interface */
+export function createOperatorService (options: OperatorServiceOptions): OperatorService {
+  const { log, logEvent } = options
+  const answerMs = options.answerMs ?? DEFAULT_ANSWER_MS
+
+  /** A majority that does not answer in time leaves the outcome unknown. */
+  async function withinTime<Value> (answer: Promise<Result<Value, ControlLogFailure>>): Promise<Result<Value, ControlLogFailure>> {
+    return await new Promise((resolve, reject) => {
+      const cancel = options.after(answerMs, () => { resolve(err({ kind: 'unknown' })) })
+      answer.then(resolve, reject).finally(cancel)
+    })
+  }
+
+  function refuseNotLeader (): OperatorRefusal {
+    return { ...refuse('notLeader', 'not-run', 'this control instance is not the leader'), leaderAddress: log.leaderAddress() }
+  }
+
+  function refuseInvalid (problems: CheckProblem[]): OperatorRefusal {
+    const message = problems.map(({ path, message }) => `${path === '' ? 'manifest' : path}: ${message}`).join('; ')
+    return { ...refuse('manifestInvalid', 'not-run', message), problems }
+  }
+
+  async function propose (operator: string, base: number, document: unknown): Promise<Result<CommitAnswer, OperatorRefusal>> {
+    const checked = checkManifest(document)
+    if (checked.isErr()) return err(refuseInvalid(checked.error))
+    const manifest = checked.value
+    const digest = contentDigest(manifest)
+    const answer = await withinTime(log.propose({ kind: 'commit-manifest', base, manifest, digest, operator }))
+    if (answer.isErr() && answer.error.kind === 'not-leader') return err(refuseNotLeader())
+    if (answer.isErr()) return err(refuse('commitUnknown', 'unknown', 'no majority answered; the manifest may or may not be committed'))
+    const { value } = answer
+    if (value.kind === 'manifest-accepted') return ok({ manifestVersion: value.manifestVersion, digest, resent: value.resent })
+    if (value.kind !== 'manifest-conflict') return err(refuse('internalError', 'unknown', 'the control log answered with another kind of command'))
+    const { currentVersion, winningDigest, winningOperator } = value
+    const message = `version ${currentVersion} is in force, committed by ${winningOperator}; the commit was based on version ${base}`
+    return err({ ...refuse('manifestConflict', 'not-run', message), conflict: { currentVersion, winningDigest, winningOperator } })
+  }
+
+  async function commit (operator: string, base: number, document: unknown): Promise<Result<CommitAnswer, OperatorRefusal>> {
+    const answer = await propose(operator, base, document)
+    answer.match(
+      ({ manifestVersion, resent }) => { logEvent('manifestAccepted', { operator, manifestVersion, resent }) },
+      ({ code, outcome }) => { logEvent('manifestRefused', { operator, base, code, outcome }) })
+    return answer
+  }
+
+  async function proveFreshness (): Promise<ReportFreshness> {
+    const confirmed = await withinTime(log.confirmLeadership())
+    if (confirmed.isOk()) return { proven: true, leaderTerm: confirmed.value }
+    const reason = confirmed.error.kind === 'not-leader' ? 'not-leader' : 'no-majority'
+    return { proven: false, reason, leaderAddress: log.leaderAddress() }
+  }
+
+  async function manifest (): Promise<Result<ManifestAnswer, OperatorRefusal>> {
+    const freshness = await proveFreshness()
+    if (!freshness.proven && freshness.reason === 'not-leader') return err(refuseNotLeader())
+    if (!freshness.proven) return err(refuse('notFresh', 'not-run', 'no majority confirmed that the manifest of this instance is current'))
+    const { manifestVersion, manifest, acceptedDigests } = log.state()
+    const accepted = acceptedDigests.find(({ version }) => version === manifestVersion)
+    return ok({
+      manifestVersion,
+      digest: accepted?.digest ?? (manifest === null ? null : contentDigest(manifest)),
+      committedBy: accepted?.operator ?? null,
+      manifest: manifest === null ? null : showManifest(manifest)
+    })
+  }
+
+  async function report (name: ReportName | 'status'): Promise<OperatorReport> {
+    const head: ReportHead = { freshness: await proveFreshness(), madeBy: options.instance, madeAt: options.timeOfDay().toISOString() }
+    const state = log.state()
+    const summary = options.summary()
+    // The summary is soft state: one of an earlier term proves nothing in this one.
+    if (head.freshness.proven && summary.leaderTerm !== head.freshness.leaderTerm) {
+      head.freshness = { proven: false, reason: 'no-majority', leaderAddress: log.leaderAddress() }
+    }
+    if (name === 'in-force') return inForceReport(head, state, summary)
+    if (name === 'workspaces') return workspacesReport(head, state)
+    if (name === 'failure-domains') return failureDomainsReport(head, state, summary)
+    if (name === 'status') return statusReport(head, state, summary)
+    if (name === 'incidents') return { report: 'incidents', ...head, ...options.incidents() }
+    const burn = head.freshness.proven ? options.burn(state) : { rows: [], withoutObjectives: [] }
+    return { report: 'burn', ...head, ...burn }
+  }
+
+  return { commit, manifest, report }
+}
