operator: command line

A commit is repeated over the control instances until one answers as leader, which is safe because a resend gets the original answer.

--- /dev/null
+++ b/src/operator/exit-code.ts
@@ -0,0 +1,18 @@
+/** Exit codes of the command line, as docs/operations.md lists them. */
+export const exitCodes = {
+  done: 0,
+  /** An error of the program itself. */
+  failed: 1,
+  /** The manifest, the settings or the arguments do not pass their checks. */
+  badInput: 2,
+  /** Another manifest was accepted with this version number. */
+  conflict: 3,
+  /** The commit may or may not have been accepted; the same command may be repeated. */
+  unknown: 4,
+  /** No control instance answered as leader. */
+  noLeader: 5,
+  /** The operator credential was refused. */
+  credentialRefused: 6
+} as const
+
+export type ExitCode = typeof exitCodes[keyof typeof exitCodes]
--- /dev/null
+++ b/src/operator/failed-answer.ts
@@ -0,0 +1,39 @@
+import { wrapLine } from '../reports/text-lines.js'
+import type { ExitCode } from './exit-code.js'
+import { exitCodes } from './exit-code.js'
+import type { Attempt, ControlAnswer } from './ask-control.js'
+import type { CommandOutput } from './command-output.js'
+
+const DIGEST_SHOWN = 12
+
+function attemptOutput (exitCode: ExitCode, name: string, sentence: string, attempts: Attempt[]): CommandOutput {
+  const lines = attempts.flatMap(({ address, message }) => wrapLine(`  ${address}: ${message}`))
+  return { exitCode, lines: [...wrapLine(sentence), ...lines], data: { error: name, message: sentence, attempts } }
+}
+
+/** @returns the output for any answer but `answered` */
+export function failedAnswer (answer: Exclude<ControlAnswer, { kind: 'answered' }>): CommandOutput {
+  switch (answer.kind) {
+    case 'unknown':
+      return attemptOutput(exitCodes.unknown, 'outcome-unknown', 'OUTCOME UNKNOWN: the commit may or may not be accepted. Repeat the same command.', answer.attempts)
+    case 'credential-refused':
+      return attemptOutput(exitCodes.credentialRefused, 'credential-refused', 'The operator credential was refused.', answer.attempts)
+    case 'no-leader':
+    case 'unproven':
+      return attemptOutput(exitCodes.noLeader, 'no-leader', 'No control leader was reached.', answer.attempts)
+    case 'refused':
+  }
+  const { refusal } = answer
+  const { conflict, problems } = refusal
+  if (conflict !== undefined) {
+    const lines = [
+      ...wrapLine(`CONFLICT: version ${conflict.currentVersion} is in force`),
+      ...wrapLine(`  content ${conflict.winningDigest.slice(0, DIGEST_SHOWN)}, committed by ${conflict.winningOperator}`),
+      ...wrapLine('Nothing was changed.')
+    ]
+    return { exitCode: exitCodes.conflict, lines, data: { error: 'manifest-conflict', ...conflict } }
+  }
+  const shown = (problems ?? []).flatMap(({ path, message }) => wrapLine(`  ${path}: ${message}`))
+  const lines = [...wrapLine(`Refused with code ${refusal.code}${problems === undefined ? `: ${refusal.message}` : ''}`), ...shown]
+  return { exitCode: exitCodes.badInput, lines, data: { error: 'refused', code: refusal.code, message: refusal.message, problems } }
+}
