--- a/stand-ins/database/system-functions.ts
+++ b/stand-ins/database/system-functions.ts
@@ -8,6 +8,7 @@
 const TEXT_OID = 25
 const INT8_OID = 20
 const VOID_OID = 2278
+const HIGHEST_PORT = 65_535
 
 const statusColumns: Column[] = [
   { name: 'database', oid: TEXT_OID },
@@ -50,6 +51,12 @@
   return parsed
 }
 
+function hostAndPort (value: string | null | undefined): string {
+  const port = Number(/^.+:(\d+)$/.exec(value ?? '')?.[1])
+  if (!(port > 0 && port <= HIGHEST_PORT)) throw new SqlError(sqlStates.invalidText, `invalid address: "${value ?? 'null'}"`)
+  return value as string
+}
+
 function requireTransaction ({ transaction, name }: SystemCall): Transaction {
   if (transaction === null) throw new SqlError(sqlStates.wrongState, `catkinrelay.${name} needs a transaction`)
   return transaction
@@ -103,7 +110,7 @@
       core.promote(integer(values[0]))
       break
     case 'follow':
-      await core.follow(integer(values[0]), values[1] ?? '')
+      await core.follow(integer(values[0]), hostAndPort(values[1]))
       break
     case 'status':
   }
--- /dev/null
+++ b/test/adapters/postgres/watch-database-status.test.ts
@@ -0,0 +1,92 @@
+import t, { type Test } from 'tap'
+import { createDatabaseOrders } from '../../../src/adapters/postgres/database-orders.js'
+import { createWatchDatabaseStatus } from '../../../src/adapters/postgres/watch-database-status.js'
+import type { PostgresOptions } from '../../../src/adapters/postgres/postgres-options.js'
+import { milliseconds, type Clock } from '../../../src/types/clock.js'
+import type { DatabaseStatus } from '../../../src/types/database-status.js'
+import { databaseId } from '../../../src/types/ids.js'
+import type { DatabaseStandIn } from '../../../stand-ins/database/database-stand-in.js'
+import { connectClient, credentials, patientOptions, startDatabases, until } from '../../stand-ins/database/fixture/start-group.js'
+
+const orders = createDatabaseOrders(patientOptions)
+
+interface Watched {
+  statuses: DatabaseStatus[]
+  askedAt: number[]
+  silences: string[]
+  stop: () => void
+}
+
+/** A clock that counts its readings, so that each poll has its own time. */
+function createCountingClock (): Clock {
+  let readings = 0
+  return { now: () => milliseconds(++readings) }
+}
+
+function watch (t: Test, database: DatabaseStandIn, options: PostgresOptions, name = 'g-1'): Watched {
+  const watched: Watched = { statuses: [], askedAt: [], silences: [], stop: () => {} }
+  const { stop } = createWatchDatabaseStatus(options, createCountingClock())({
+    database: databaseId(name),
+    address: database.address(),
+    onStatus: (status, askedAt) => {
+      watched.statuses.push(status)
+      watched.askedAt.push(askedAt)
+    },
+    onSilent: (message) => { watched.silences.push(message) }
+  })
+  watched.stop = stop
+  t.teardown(stop)
+  return watched
+}
+
+t.test('a new position and a fence are told without waiting for the poll to run out', async (t) => {
+  const [primary] = await startDatabases(t, { size: 1 })
+  const { statuses, askedAt, silences } = watch(t, primary, { ...patientOptions, statusWaitMs: 100_000 })
+  await until(() => statuses.length === 1)
+  await (await connectClient(t, primary)).query("insert into kv (key, value) values ('k', '1')")
+  await until(() => statuses.at(-1)?.position.offset === primary.status().position.offset)
+  await orders.fence(primary.address(), 2)
+  await until(() => statuses.at(-1)?.fencedTerm === 2)
+  t.same(silences, [])
+  t.same(askedAt, askedAt.map((_, position) => position + 1), 'each status has the time at which it was asked for')
+})
+
+const hurried: PostgresOptions = { credentials, statusWaitMs: 10, statusOverdueMs: 200, connectTimeoutMs: 2_000, reconnectPauseMs: 5 }
+
+const faults: { name: string, fail: (database: DatabaseStandIn) => Promise<void>, recover: (database: DatabaseStandIn) => Promise<void> }[] = [
+  { name: 'its connection goes silent', fail: async ({ faults }) => faults.silenceConnections(), recover: async () => {} },
+  { name: 'it is partitioned', fail: async ({ faults }) => faults.partition('all'), recover: async ({ faults }) => faults.heal() },
+  { name: 'it restarts', fail: async (database) => await database.stop(), recover: async (database) => await database.start() }
+]
+
+for (const { name, fail, recover } of faults) {
+  t.test(`the watch tells silence and then a new status when ${name}`, async (t) => {
+    const [primary] = await startDatabases(t, { size: 1 })
+    const { statuses, silences } = watch(t, primary, hurried)
+    await until(() => statuses.length > 0)
+    await fail(primary)
+    await until(() => silences.length > 0)
+    await recover(primary)
+    const seen = statuses.length
+    await until(() => statuses.length > seen)
+    t.equal(statuses.at(-1)?.incarnation, primary.status().incarnation)
+  })
+}
+
+t.test('a database under another name is silence, so that a reused address is not taken for the old database', async (t) => {
+  const [primary] = await startDatabases(t, { size: 1 })
+  const { statuses, silences } = watch(t, primary, patientOptions, 'another')
+  await until(() => silences.length > 0)
+  t.match(silences[0], /answered as database g-1/)
+  t.same(statuses, [])
+})
+
+t.test('a stopped watch tells nothing and ends its connection', async (t) => {
+  const [primary] = await startDatabases(t, { size: 1 })
+  const { statuses, silences, stop } = watch(t, primary, { ...patientOptions, statusWaitMs: 100_000 })
+  await until(() => statuses.length > 0)
+  stop()
+  await until(() => primary.counts().openConnections === 0)
+  t.same(silences, [])
+  t.equal(statuses.length, 1)
+})
--- /dev/null
+++ b/test/stand-ins/database/announcements.test.ts
@@ -0,0 +1,63 @@
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import t, { type Test } from 'tap'
+import { createDatabaseOrders } from '../../../src/adapters/postgres/database-orders.js'
+import type { Announcement } from '../../../src/types/database-status.js'
+import { address, type Address } from '../../../src/types/ids.js'
+import { patientOptions, startDatabases, until } from './fixture/start-group.js'
+
+const orders = createDatabaseOrders(patientOptions)
+
+interface Received {
+  path: string
+  authorization: string
+  announcement: Announcement
+}
+
+/** Starts an HTTP server that answers every announcement with the given status. */
+async function startInstance (t: Test, statusCode: number): Promise<{ instance: Address, received: Received[] }> {
+  const received: Received[] = []
+  const server: Server = createServer((request, response) => {
+    let body = ''
+    request.on('data', (part: Buffer) => { body += part.toString() })
+    request.on('end', () => {
+      received.push({ path: `${request.method} ${request.url}`, authorization: request.headers.authorization ?? '', announcement: JSON.parse(body) as Announcement })
+      response.writeHead(statusCode).end()
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  return { instance: address(`127.0.0.1:${(server.address() as AddressInfo).port}`), received }
+}
+
+t.test('an announcement carries the secret and goes to the next instance when one refuses it', async (t) => {
+  const refusing = await startInstance(t, 503)
+  const accepting = await startInstance(t, 204)
+  const [primary] = await startDatabases(t, { size: 1, announcements: { instances: [refusing.instance, accepting.instance], secret: 'announce' } })
+  await until(() => accepting.received.length > 0)
+  t.equal(refusing.received.length, 1)
+  t.match(accepting.received[0], {
+    path: 'POST /v1/announcements',
+    authorization: 'Bearer announce',
+    announcement: { database: 'g-1', group: 'g', address: primary.address(), failureDomain: 'domain-1', departing: false, status: primary.status() }
+  })
+})
+
+t.test('changes of role and departing are announced, and nothing is while partitioned', async (t) => {
+  const { instance, received } = await startInstance(t, 204)
+  const [first, second] = await startDatabases(t, { size: 2, announcements: { instances: [instance], secret: 'announce' } })
+  const last = (database: string): Announcement | undefined => received.findLast(({ announcement }) => announcement.database === database)?.announcement
+  await orders.fence(second.address(), 2)
+  await orders.promote(second.address(), 2)
+  await until(() => last('g-2')?.status.role === 'primary')
+  second.faults.partition('clients')
+  second.setDeparting(true)
+  first.setDeparting(true)
+  await until(() => last('g-1')?.departing === true)
+  t.equal(last('g-2')?.departing, false)
+  second.faults.heal()
+  await until(() => last('g-2')?.departing === true)
+})
--- /dev/null
+++ b/test/stand-ins/database/main.test.ts
@@ -0,0 +1,51 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import t, { type Test } from 'tap'
+import { createDatabaseOrders } from '../../../src/adapters/postgres/database-orders.js'
+import { address, type Address } from '../../../src/types/ids.js'
+import { connectClient, credentials, patientOptions, startDatabases } from './fixture/start-group.js'
+
+const binary = fileURLToPath(new URL('../../../stand-ins/database/main.js', import.meta.url))
+const orders = createDatabaseOrders(patientOptions)
+
+function settingsFile (t: Test, settings: unknown): string {
+  const folder = mkdtempSync(join(tmpdir(), 'catkinrelay-stand-in-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  const path = join(folder, 'settings.json')
+  writeFileSync(path, JSON.stringify(settings))
+  return path
+}
+
+async function startBinary (t: Test, settings: unknown): Promise<Address> {
+  const child = spawn(process.execPath, [binary, settingsFile(t, settings)], { stdio: ['ignore', 'pipe', 'inherit'] })
+  t.teardown(async () => {
+    child.kill('SIGTERM')
+    if (child.exitCode === null) await once(child, 'exit')
+  })
+  const [line] = await once(child.stdout, 'data') as [Buffer]
+  return address(String(line).trim().replace('listening on ', ''))
+}
+
+t.test('the binary replicates from a primary in another process', async (t) => {
+  const [primary] = await startDatabases(t, { size: 1 })
+  const settings = { database: 'g-2', group: 'g', failureDomain: 'domain-2', firstPrimary: primary.address(), password: credentials.password }
+  const replica = await startBinary(t, settings)
+  await (await connectClient(t, primary)).query("insert into kv (key, value) values ('k', '1')")
+  const expected = primary.status().position.offset
+  let status = (await orders.status(replica))._unsafeUnwrap()
+  while (status.position.offset < expected) status = (await orders.status(replica))._unsafeUnwrap()
+  t.match(status, { database: 'g-2', role: 'replica', term: 1 })
+})
+
+t.test('settings that do not pass their checks end the binary with an error, not with defaults', async (t) => {
+  const child = spawn(process.execPath, [binary, settingsFile(t, { database: 'g-2', slot: 5 })], { stdio: ['ignore', 'ignore', 'pipe'] })
+  let errors = ''
+  child.stderr.on('data', (part: Buffer) => { errors += part.toString() })
+  const [code] = await once(child, 'close') as [number]
+  t.equal(code, 1)
+  t.match(errors, /slot/)
+})
