--- a/test/stand-ins/database/replication.test.ts
+++ b/test/stand-ins/database/replication.test.ts
@@ -136,3 +136,16 @@
   await pending
   t.equal(first.value('w', 'k'), '1')
 })
+
+t.test('delay and lag keep the order of answers and entries, as TCP does', async (t) => {
+  const [first, second] = await startDatabases(t, { size: 2, networkDelayMs: 1, replicationLagMs: 5 })
+  const client = await connectClient(t, first)
+  const numbers = Array.from({ length: 20 }, (_, number) => String(number))
+  for (const number of numbers) {
+    if (number === '10') first.faults.slow(2)
+    await client.query('insert into entries (key, value) values ($1, $2)', ['list', number])
+  }
+  await caughtUp(second, first)
+  t.same(second.entries('w', 'list'), numbers)
+  t.same(second.log(), first.log())
+})
