--- a/src/decisions/sessions/statement-kind.ts
+++ b/src/decisions/sessions/statement-kind.ts
@@ -33,11 +33,16 @@
   }
 }
 
+// These change the workspace of a connection or the terms of a database. An identifier with Unicode escapes could hide their names.
+const RESERVED_NAMES = /set_config|catkinrelay|u&"/i
+
 /**
- * Checks the first keyword of a caller's statement.
+ * Checks the first keyword of a caller's statement, and that it calls none of the system's own functions.
+ * The check reads the text only, so a literal that holds a reserved name is refused too; pass such text as a value.
  * @returns the keyword, or null when callers may not run the statement
  */
 export function statementKind (statement: string): StatementKind | null {
+  if (RESERVED_NAMES.test(statement)) return null
   const keyword = KEYWORD.exec(skipSpaceAndComments(statement) ?? '')?.[0].toLowerCase()
   return ALLOWED_KEYWORDS.find((allowed) => allowed === keyword) ?? null
 }
--- a/src/entry/request-service.ts
+++ b/src/entry/request-service.ts
@@ -139,7 +139,7 @@
     const authorized = authorize(index, request.key === null ? null : digestOf(request.key), request.operation)
     if (authorized.isErr()) return authorized.error
     const { operation, group } = authorized.value
-    if ('statement' in operation && statementKind(operation.statement) === null) return refuse('statementNotAllowed', 'not-run', 'the statement must begin with select, insert, update, delete or with')
+    if ('statement' in operation && statementKind(operation.statement) === null) return refuse('statementNotAllowed', 'not-run', 'the statement must begin with select, insert, update, delete or with, and name no function of the system')
     const required = requiredPosition(request, group)
     if (required !== null && 'kind' in required) return required
     return { authorized: authorized.value, required }
--- a/test/decisions/sessions/statement-kind.test.ts
+++ b/test/decisions/sessions/statement-kind.test.ts
@@ -20,7 +20,13 @@
   { statement: 'select_all()', kind: null },
   { statement: 'ſelect 1', kind: null },
   { statement: '; select 1', kind: null },
-  { statement: '', kind: null }
+  { statement: '', kind: null },
+  // Statements that would leave the workspace or change terms.
+  { statement: "select set_config('catkinrelay.workspace', 'other', false)", kind: null },
+  { statement: "select SET_CONFIG('search_path', 'x', false)", kind: null },
+  { statement: 'select * from catkinrelay.fence(99)', kind: null },
+  { statement: 'select * from "catkinrelay".promote(2)', kind: null },
+  { statement: 'select U&"\\0073et_config"(\'a\', \'b\', false)', kind: null }
 ]
 
 for (const { statement, kind } of cases) {
