--- /dev/null
+++ b/src/decisions/limits/resource-shares.ts
@@ -0,0 +1,213 @@
+import type { Milliseconds } from '../../types/clock.js'
+import { milliseconds } from '../../types/clock.js'
+import type { ResourceId } from '../../types/ids.js'
+import type { ShareAmount } from '../../types/share.js'
+import type { ResourceSize } from '../../types/share-allocator.js'
+import type { DivisionMember } from './rate-division.js'
+import { divideBurst, divideRate, reserveRatio } from './rate-division.js'
+import type { ShareAccount, ShareClient } from './share-account.js'
+import { currentShare, issueGrant, mostHeld } from './share-account.js'
+import type { PlanMember } from './share-plan.js'
+import { planShares } from './share-plan.js'
+import { divideWhole } from './whole-division.js'
+
+/** What the leader knows of one resource. */
+export interface ResourceShares {
+  resource: ResourceId
+  /** Null once the resource is gone; its shares are then taken back. */
+  size: ResourceSize | null
+  accounts: Set<ShareAccount>
+  /** Tokens that the leader keeps: given back by instances, or earned by the rate that nobody may hold. */
+  tokens: number
+  /** Rate that nobody may hold, in tokens per second. */
+  freeRate: number
+  /** When the tokens were counted last. */
+  countedAt: Milliseconds
+  /** Whether a report or an expiry may have changed the division. */
+  dirty: boolean
+  /** Whether an instance lacks share, or share is left over. */
+  unsettled: boolean
+  balancedAt: Milliseconds
+  reducedAt: Milliseconds
+}
+
+/** @returns a resource of which nothing is granted */
+export function newResourceShares (resource: ResourceId, size: ResourceSize | null): ResourceShares {
+  return { resource, size, accounts: new Set(), tokens: 0, freeRate: 0, countedAt: milliseconds(0), dirty: true, unsettled: false, balancedAt: milliseconds(0), reducedAt: milliseconds(-Infinity) }
+}
+
+/** An account whose instance reported lately. */
+interface Participant {
+  account: ShareAccount
+  eligible: boolean
+  member: DivisionMember
+  current: ShareAmount
+  most: ShareAmount
+}
+
+interface Target extends ShareAmount {
+  needy: boolean
+}
+
+/**
+ * Part of its demand and target below which an instance counts as needy. A smaller shortage is covered by the burst
+ * until the instance reports more; moving share for each fluctuation of demand would multiply the heartbeats.
+ */
+const needyRatio = 0.8
+
+/** Shortest time between reductions for needy instances, so that fluctuating reports don't each cause messages. */
+const reductionGapMs = 10
+
+function participantOf (account: ShareAccount, size: ResourceSize | null, resource: ResourceId): Participant {
+  const eligible = size !== null && (size.eligible === null || size.eligible.includes(account.client.instance))
+  const demand = eligible ? account.client.demand.get(resource) ?? 0 : 0
+  const member = { demand, spare: eligible && !account.client.draining }
+  return { account, eligible, member, current: currentShare(account), most: mostHeld(account) }
+}
+
+function rateTargets (participants: readonly Participant[], rate: number, burst: number): Target[] {
+  const members = participants.map(({ member }) => member)
+  const parts = divideRate(rate, members)
+  const bursts = divideBurst(burst * (1 - reserveRatio), members, parts)
+  return participants.map(({ member, current }, index) => {
+    const amount = parts[index] as number
+    const targetBurst = bursts[index] as number
+    const lacksToken = member.demand > 0 && targetBurst >= 1 && current.burst < 1
+    const wanted = Math.min(amount, member.demand)
+    const lacksRate = current.amount < needyRatio * wanted
+    return { amount, burst: targetBurst, needy: lacksRate || lacksToken }
+  })
+}
+
+function wholeTargets (participants: readonly Participant[], units: number): Target[] {
+  const parts = divideWhole(units, participants.map(({ member }) => member), participants.map(({ current }) => current.amount))
+  return participants.map(({ member, current }, index) => {
+    const amount = parts[index] as number
+    return { amount, burst: 0, needy: current.amount < Math.min(amount, Math.ceil(member.demand)) }
+  })
+}
+
+function planMembers (participants: readonly Participant[], targets: readonly Target[], quantity: keyof ShareAmount, isRaisable: (account: ShareAccount) => boolean): PlanMember[] {
+  return participants.map(({ account, eligible, current, most }, index) => {
+    const target = targets[index] as Target
+    return {
+      current: current[quantity],
+      mostHeld: most[quantity],
+      target: target[quantity],
+      needy: target.needy,
+      givesBack: !eligible || account.client.draining,
+      raisable: isRaisable(account)
+    }
+  })
+}
+
+/**
+ * Divides a resource again and issues the grants that follow.
+ * @param isResponsive - whether an instance reported lately; the share of another one is left with it until it runs out
+ * @param nextGrant - numbers a grant
+ * @param reporter - the instance whose heartbeat is being answered, if any; only its share is raised
+ * @param raiseAll - whether shares are raised without a reporter; they then wait for the next heartbeats
+ */
+export function rebalance (shares: ResourceShares, now: Milliseconds, isResponsive: (account: ShareAccount) => boolean, nextGrant: () => number, reporter: ShareClient | null, raiseAll: boolean): void {
+  fillReserve(shares, now)
+  shares.dirty = false
+  shares.balancedAt = now
+  const { size, resource } = shares
+  const participants: Participant[] = []
+  const total = { amount: size?.amount ?? 0, burst: size?.burst ?? 0 }
+  for (const account of shares.accounts) {
+    if (isResponsive(account)) {
+      participants.push(participantOf(account, size, resource))
+      continue
+    }
+    const held = mostHeld(account)
+    total.amount -= held.amount
+    total.burst -= held.burst
+  }
+  const whole = size?.whole ?? true
+  const amount = Math.max(0, total.amount)
+  const burst = Math.max(0, total.burst)
+  const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount, burst)
+  const rateReserve = whole ? 0 : Math.max(0, amount - targets.reduce((sum, target) => sum + target.amount, 0))
+  const burstReserve = whole ? 0 : Math.max(0, burst - targets.reduce((sum, target) => sum + target.burst, 0))
+  const isRaisable = (account: ShareAccount) => reporter === null ? raiseAll : account.client === reporter
+  const mayReduce = now - shares.reducedAt >= reductionGapMs
+  const amounts = planShares(planMembers(participants, targets, 'amount', isRaisable), amount, rateReserve, whole, mayReduce)
+  const bursts = planShares(planMembers(participants, targets, 'burst', isRaisable), burst, burstReserve, false, mayReduce)
+  shares.unsettled = amounts.unsettled || bursts.unsettled
+  const overcommitted = amounts.overcommitted || bursts.overcommitted
+  const isWanting = (index: number): boolean => {
+    const { member, current } = participants[index] as Participant
+    return (targets[index] as Target).needy && current.amount < member.demand * needyRatio
+  }
+  const wanting = participants.some((_, index) => isWanting(index))
+  const next = participants.map((_, index) => ({ amount: amounts.next[index] as number, burst: bursts.next[index] as number }))
+  const tokens = passTokens(shares, participants, next, reporter)
+
+  participants.forEach(({ account, current, eligible }, index) => {
+    const share = next[index] as ShareAmount
+    const passed = tokens[index] as number
+    const unsentRaise = account.client !== reporter && isWanting(index) && amounts.free > ((targets[index] as Target).amount - current.amount) * worthAskingRatio
+    if (unsentRaise && now - account.askedAt >= askGapMs) {
+      account.urgent = true
+      account.askedAt = now
+    }
+    if (share.amount === current.amount && share.burst === current.burst && passed === 0) return
+    issueGrant(account, share, passed, nextGrant(), now)
+    const givesUp = share.amount < current.amount || share.burst < current.burst
+    if (givesUp) shares.reducedAt = now
+    // The reporter gets its share with the answer that follows.
+    if (account.client === reporter) return
+    account.urgent ||= givesUp && (wanting || overcommitted || !eligible)
+  })
+  recountReserve(shares, now)
+}
+
+/** Part of its need that must be free before an instance is asked for a heartbeat, which raises its share. */
+const worthAskingRatio = 0.25
+
+/** Shortest time between two such requests to one instance, in milliseconds. */
+const askGapMs = 15
+
+/** Time for which an instance gets the tokens that its demand exceeds its share by, in milliseconds. */
+const tokenAdvanceMs = 100
+
+/**
+ * Passes tokens on: along with raised bursts, since the burst leaves no room to keep them,
+ * and to the reporter if its demand exceeds its share. What others reported is out of date.
+ */
+function passTokens (shares: ResourceShares, participants: readonly Participant[], next: readonly ShareAmount[], reporter: ShareClient | null): number[] {
+  const raises = participants.map(({ current }, index) => Math.max(0, (next[index] as ShareAmount).burst - current.burst))
+  const raised = raises.reduce((sum, raise) => sum + raise, 0)
+  const along = raised === 0 ? 0 : Math.min(1, shares.tokens / raised)
+  return participants.map(({ account, member, current }, index) => {
+    const missing = account.client === reporter ? Math.ceil((member.demand - current.amount) * tokenAdvanceMs / 1000) : 0
+    const wanted = Math.max(missing, (raises[index] as number) * along)
+    const passed = Math.max(0, Math.min((next[index] as ShareAmount).burst, wanted, shares.tokens))
+    shares.tokens -= passed
+    return passed
+  })
+}
+
+/** Counts the tokens that the free rate earned. Call before anything is granted, acknowledged or run out. */
+export function fillReserve (shares: ResourceShares, now: Milliseconds): void {
+  shares.tokens += shares.freeRate * Math.max(0, now - shares.countedAt) / 1000
+  shares.countedAt = now
+  keepTokensWithinBurst(shares)
+}
+
+/** Determines the free rate after grants, acknowledgements or expiry. */
+export function recountReserve (shares: ResourceShares, now: Milliseconds): void {
+  let free = shares.size === null || shares.size.whole ? 0 : shares.size.amount
+  for (const account of shares.accounts) free -= mostHeld(account).amount
+  shares.freeRate = Math.max(0, free)
+  shares.countedAt = now
+  keepTokensWithinBurst(shares)
+}
+
+/** The tokens that the leader keeps and all that instances may hold stay within the burst together. */
+function keepTokensWithinBurst (shares: ResourceShares): void {
+  let free = shares.size?.burst ?? 0
+  for (const account of shares.accounts) free -= mostHeld(account).burst
+  shares.tokens = Math.max(0, Math.min(shares.tokens, free))
+}
--- /dev/null
+++ b/src/decisions/limits/share-account.ts
@@ -0,0 +1,106 @@
+import type { Milliseconds } from '../../types/clock.js'
+import { addTime } from '../../types/clock.js'
+import type { IncarnationId, InstanceId, ResourceId } from '../../types/ids.js'
+import type { GrantedShare, HeldShare, ShareAmount } from '../../types/share.js'
+import { leaderShareLeaseMs } from './share-lease.js'
+
+/** One run of an instance, as the leader knows it. */
+export interface ShareClient {
+  instance: InstanceId
+  incarnation: IncarnationId
+  draining: boolean
+  /** Whether the instance has reported under the term of this leader. Nothing is granted to it before. */
+  termKnown: boolean
+  /** Another incarnation of the instance has reported later. */
+  superseded: boolean
+  reportedAt: Milliseconds
+  demand: Map<ResourceId, number>
+  accounts: Map<ResourceId, ShareAccount>
+}
+
+interface IssuedGrant extends ShareAmount {
+  grant: number
+  tokens: number
+  /** Whether an answer may have carried it. */
+  sent: boolean
+  /** On the leader's clock; only of use once it was sent. */
+  expiresAt: Milliseconds
+}
+
+/** What the leader granted of one resource to one run of an instance. */
+export interface ShareAccount {
+  client: ShareClient
+  /** Grants that the instance may hold, oldest first; the last one is in force. */
+  grants: IssuedGrant[]
+  /** Whether the instance should be asked for a heartbeat because of the last grant. */
+  urgent: boolean
+  /** When the instance was asked last because its share can be raised. */
+  askedAt: Milliseconds
+}
+
+const nothing: ShareAmount = { amount: 0, burst: 0 }
+
+/** @returns the share in force */
+export function currentShare (account: ShareAccount): ShareAmount {
+  return account.grants.at(-1) ?? nothing
+}
+
+/** @returns the most that the instance may hold, whatever messages were lost */
+export function mostHeld (account: ShareAccount): ShareAmount {
+  const most = { amount: 0, burst: 0 }
+  for (const { amount, burst } of account.grants) {
+    most.amount = Math.max(most.amount, amount)
+    most.burst = Math.max(most.burst, burst)
+  }
+  return most
+}
+
+/** Puts a new grant in force. One that was not sent yet is changed in place, so that its tokens aren't lost. */
+export function issueGrant (account: ShareAccount, share: ShareAmount, tokens: number, grant: number, now: Milliseconds): void {
+  const last = account.grants.at(-1)
+  if (last !== undefined && !last.sent) {
+    last.amount = share.amount
+    last.burst = share.burst
+    last.tokens = Math.min(share.burst, last.tokens + tokens)
+    return
+  }
+  account.grants.push({ ...share, grant, tokens, sent: false, expiresAt: now })
+}
+
+/** Adopts a share that an earlier leader granted. */
+export function adoptShare (account: ShareAccount, held: HeldShare, expiresAt: Milliseconds): void {
+  account.grants = [{ amount: held.amount, burst: held.burst, grant: held.grant, tokens: 0, sent: true, expiresAt }]
+}
+
+/** @returns tokens given back, when the report acknowledges a grant for the first time; otherwise null */
+export function acknowledgeGrant (account: ShareAccount, held: HeldShare): number | null {
+  const index = account.grants.findIndex(({ grant, sent }) => sent && grant === held.grant)
+  if (index <= 0) return null
+  const before = mostHeld(account).burst
+  account.grants.splice(0, index)
+  return Math.max(0, Math.min(held.returnedTokens, before - mostHeld(account).burst))
+}
+
+/** @returns whether a grant ran out */
+export function expireGrants (account: ShareAccount, now: Milliseconds): boolean {
+  const kept = account.grants.filter(({ sent, expiresAt }) => !sent || expiresAt > now)
+  if (kept.length === account.grants.length) return false
+  account.grants = kept
+  return true
+}
+
+/** Renews the lease of the share in force, counted from now. */
+export function renewGrant (account: ShareAccount, resource: ResourceId, now: Milliseconds): GrantedShare | null {
+  const last = account.grants.at(-1)
+  if (last === undefined) return null
+  last.sent = true
+  last.expiresAt = addTime(now, leaderShareLeaseMs)
+  account.urgent = false
+  return { resource, amount: last.amount, burst: last.burst, grant: last.grant, tokens: last.tokens }
+}
+
+/** @returns whether the share is zero and the instance can hold nothing else */
+export function isEmptyAccount (account: ShareAccount): boolean {
+  const { amount, burst } = mostHeld(account)
+  return amount === 0 && burst === 0
+}
--- /dev/null
+++ b/src/decisions/limits/share-allocator.ts
@@ -0,0 +1,250 @@
+import type { Clock, Milliseconds } from '../../types/clock.js'
+import { addTime, milliseconds } from '../../types/clock.js'
+import type { IncarnationId, InstanceId, ResourceId } from '../../types/ids.js'
+import type { GrantedShare, HeldShare } from '../../types/share.js'
+import type { ResourceSize, ShareAllocator, ShareReport } from '../../types/share-allocator.js'
+import type { ResourceShares } from './resource-shares.js'
+import { fillReserve, newResourceShares, rebalance, recountReserve } from './resource-shares.js'
+import type { ShareAccount, ShareClient } from './share-account.js'
+import { acknowledgeGrant, adoptShare, currentShare, expireGrants, isEmptyAccount, renewGrant } from './share-account.js'
+import type { ShareAllocatorOptions } from './share-allocator-options.js'
+import { resolveShareAllocatorOptions } from './share-allocator-options.js'
+import { leaderShareLeaseMs } from './share-lease.js'
+
+/** Grants of a later leader have greater numbers: the term stands above this many bits of a counter. */
+const grantsPerTerm = 2 ** 32
+
+/** While a need is unfilled, the division is repeated without a report, since instances may have become unresponsive. */
+const replanAfterMs = 250
+
+/** @returns an allocator that grants nothing until `becomeLeader` */
+export function createShareAllocator (options: ShareAllocatorOptions & { clock: Clock }): ShareAllocator {
+  const { clock } = options
+  const { unresponsiveAfterMs, immediateMembers } = resolveShareAllocatorOptions(options)
+  const resources = new Map<ResourceId, ResourceShares>()
+  const clients = new Map<InstanceId, ShareClient>()
+  const superseded = new Map<IncarnationId, ShareClient>()
+  let leaderTerm = 0
+  let grantsBegin = Infinity as Milliseconds
+  let grantCounter = 0
+
+  const nextGrant = (): number => leaderTerm * grantsPerTerm + ++grantCounter
+
+  function becomeLeader (term: number): void {
+    leaderTerm = term
+    grantCounter = 0
+    grantsBegin = addTime(clock.now(), leaderShareLeaseMs)
+    clients.clear()
+    superseded.clear()
+    for (const shares of resources.values()) {
+      shares.accounts.clear()
+      shares.tokens = 0
+      // The free rate is unknown, and earns nothing, until the first division of this leader.
+      shares.freeRate = 0
+      shares.dirty = true
+    }
+  }
+
+  function setResources (sizes: ReadonlyMap<ResourceId, ResourceSize>): void {
+    for (const [resource, size] of sizes) {
+      const known = resources.get(resource)
+      if (known === undefined) {
+        resources.set(resource, newResourceShares(resource, size))
+        continue
+      }
+      fillReserve(known, clock.now())
+      known.size = size
+      known.dirty = true
+      if (clock.now() >= grantsBegin) recountReserve(known, clock.now())
+    }
+    for (const shares of resources.values()) {
+      if (sizes.has(shares.resource)) continue
+      shares.size = null
+      shares.tokens = 0
+      shares.freeRate = 0
+      shares.dirty = true
+    }
+  }
+
+  function isResponsive (account: ShareAccount): boolean {
+    const { client } = account
+    return !client.superseded && client.termKnown && clock.now() - client.reportedAt <= unresponsiveAfterMs
+  }
+
+  function supersede (client: ShareClient): void {
+    client.superseded = true
+    superseded.set(client.incarnation, client)
+    for (const resource of client.accounts.keys()) (resources.get(resource) as ResourceShares).dirty = true
+  }
+
+  /** Finds the run of the instance that reports; an unknown one takes the place of the run known before. */
+  function clientOf (report: ShareReport): ShareClient {
+    const known = clients.get(report.instance)
+    if (known?.incarnation === report.incarnation) return known
+    const earlier = superseded.get(report.incarnation)
+    // A late heartbeat of an earlier run may have displaced the present one, which then goes on reporting.
+    const returns = earlier !== undefined && (known === undefined || clock.now() - known.reportedAt > unresponsiveAfterMs)
+    if (earlier !== undefined && !returns) return earlier
+    if (known !== undefined) supersede(known)
+    const client = earlier ?? newClient(report)
+    client.superseded = false
+    superseded.delete(client.incarnation)
+    clients.set(client.instance, client)
+    return client
+  }
+
+  function newClient (report: ShareReport): ShareClient {
+    const { instance, incarnation } = report
+    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), accounts: new Map() }
+  }
+
+  function accountOf (client: ShareClient, shares: ResourceShares): ShareAccount {
+    const known = client.accounts.get(shares.resource)
+    if (known !== undefined) return known
+    const account: ShareAccount = { client, grants: [], urgent: false, askedAt: milliseconds(-Infinity) }
+    client.accounts.set(shares.resource, account)
+    shares.accounts.add(account)
+    return account
+  }
+
+  function takeHeld (client: ShareClient, held: HeldShare): void {
+    const shares = resources.get(held.resource)
+    const account = client.accounts.get(held.resource)
+    if (account !== undefined && account.grants.length > 0) {
+      if (shares === undefined) return
+      fillReserve(shares, clock.now())
+      const returned = acknowledgeGrant(account, held)
+      if (returned === null) return
+      shares.tokens += returned
+      if (clock.now() >= grantsBegin) recountReserve(shares, clock.now())
+      shares.dirty = true
+      return
+    }
+    const adoptable = clock.now() < grantsBegin && !client.superseded
+    if (!adoptable) return
+    // Until the resources are known, an adopted share stands for a resource of unknown size.
+    const adopting = shares ?? newResourceShares(held.resource, null)
+    resources.set(held.resource, adopting)
+    adoptShare(accountOf(client, adopting), held, grantsBegin)
+  }
+
+  /** Makes accounts for resources that an instance may hold from now on. */
+  function openAccounts (client: ShareClient): void {
+    for (const shares of resources.values()) {
+      const { size } = shares
+      if (size === null || client.accounts.has(shares.resource)) continue
+      if (size.eligible !== null && !size.eligible.includes(client.instance)) continue
+      accountOf(client, shares)
+      shares.dirty = true
+    }
+  }
+
+  function takeDemand (client: ShareClient, report: ShareReport): void {
+    const before = client.demand
+    client.demand = new Map(report.demand.map(({ resource, amount }) => [resource, amount]))
+    for (const [resource, account] of client.accounts) {
+      const demand = client.demand.get(resource) ?? 0
+      if (demand === (before.get(resource) ?? 0)) continue
+      const shares = resources.get(resource) as ResourceShares
+      const lacks = currentShare(account).amount < demand
+      if (lacks || shares.unsettled || client.draining) shares.dirty = true
+    }
+  }
+
+  function report (report: ShareReport): void {
+    const now = clock.now()
+    const client = clientOf(report)
+    const returned = now - client.reportedAt > unresponsiveAfterMs
+    client.reportedAt = now
+    if (report.leaderTerm === leaderTerm && report.leaderTerm > 0) {
+      client.termKnown = true
+      for (const held of report.held) takeHeld(client, held)
+    }
+    if (client.superseded) return
+    const drains = report.draining && !client.draining
+    client.draining = report.draining
+    takeDemand(client, report)
+    if (!client.termKnown) return
+    openAccounts(client)
+    for (const resource of client.accounts.keys()) {
+      const shares = resources.get(resource) as ResourceShares
+      if (returned || drains) shares.dirty = true
+      if ((shares.dirty || shares.unsettled) && shares.accounts.size <= immediateMembers) redistribute(shares, client)
+    }
+  }
+
+  function redistribute (shares: ResourceShares, reporter: ShareClient | null): void {
+    const now = clock.now()
+    if (now < grantsBegin) return
+    rebalance(shares, now, isResponsive, nextGrant, reporter, shares.accounts.size > immediateMembers)
+  }
+
+  function renew (instance: InstanceId, incarnation: IncarnationId): GrantedShare[] {
+    const client = clients.get(instance)
+    if (client === undefined || client.incarnation !== incarnation || !client.termKnown) return []
+    const now = clock.now()
+    const granted: GrantedShare[] = []
+    for (const [resource, account] of client.accounts) {
+      const share = renewGrant(account, resource, now)
+      if (share !== null) granted.push(share)
+    }
+    return granted
+  }
+
+  function takeChanged (): InstanceId[] {
+    const changed: InstanceId[] = []
+    for (const client of clients.values()) {
+      let urgent = false
+      for (const account of client.accounts.values()) {
+        urgent ||= account.urgent
+        account.urgent = false
+      }
+      if (urgent) changed.push(client.instance)
+    }
+    return changed
+  }
+
+  function closeAccount (account: ShareAccount, shares: ResourceShares): void {
+    shares.accounts.delete(account)
+    account.client.accounts.delete(shares.resource)
+  }
+
+  /** Ends shares that ran out, and accounts that nothing is granted or owed on any more. */
+  function expire (shares: ResourceShares): void {
+    const now = clock.now()
+    fillReserve(shares, now)
+    for (const account of shares.accounts) {
+      if (expireGrants(account, now)) shares.dirty = true
+      const { client } = account
+      const gone = client.superseded || now - client.reportedAt > leaderShareLeaseMs
+      const excluded = shares.size === null || (shares.size.eligible !== null && !shares.size.eligible.includes(client.instance))
+      if (gone && account.grants.every(({ sent }) => !sent)) closeAccount(account, shares)
+      if (excluded && account.grants.length <= 1 && isEmptyAccount(account)) closeAccount(account, shares)
+    }
+    if (shares.dirty) recountReserve(shares, now)
+    if (shares.size === null && shares.accounts.size === 0) resources.delete(shares.resource)
+  }
+
+  function forgetClients (): void {
+    const now = clock.now()
+    for (const known of [clients, superseded] as Map<string, ShareClient>[]) {
+      for (const [key, client] of known) {
+        const silent = now - client.reportedAt > leaderShareLeaseMs
+        if (client.accounts.size === 0 && silent) known.delete(key)
+      }
+    }
+  }
+
+  function tick (): void {
+    const now = clock.now()
+    if (now < grantsBegin) return
+    for (const shares of [...resources.values()]) {
+      expire(shares)
+      const overdue = shares.unsettled && now - shares.balancedAt >= replanAfterMs
+      if (shares.dirty || overdue) redistribute(shares, null)
+    }
+    forgetClients()
+  }
+
+  return { becomeLeader, setResources, report, renew, takeChanged, tick }
+}
--- /dev/null
+++ b/test/decisions/limits/share-safety.test.ts
@@ -0,0 +1,164 @@
+import fc from 'fast-check'
+import t from 'tap'
+import type { FleetInstance, FleetWorkspace, WholeResource } from '../../../measure/share-fleet.js'
+import { createShareFleet } from '../../../measure/share-fleet.js'
+import { createRandom, createSimulation } from '../../../measure/simulation.js'
+import type { InstanceId } from '../../../src/types/ids.js'
+import { instanceId, resourceId, workspaceId } from '../../../src/types/ids.js'
+
+const seed = 7004
+const workspace = workspaceId('busy')
+const rateResource = resourceId('rate', workspace)
+const slots = resourceId('slots', 'database')
+const slotCount = 5
+const members = ['a', 'b', 'c', 'd'].map(instanceId)
+const rounding = 1e-6
+const stepMs = 5
+/** Clocks of instances differ from the leader's by up to this much, which keeps any two within 1%. */
+const clockError = 0.005
+
+type FaultKind = 'none' | 'restart' | 'stop' | 'elect' | 'lower' | 'raise' | 'drain' | 'demand'
+interface Fault { afterMs: number, kind: FaultKind, member: number }
+
+const faults = fc.array(fc.record({
+  afterMs: fc.integer({ min: 10, max: 3000 }),
+  kind: fc.constantFrom<FaultKind>('none', 'restart', 'stop', 'elect', 'lower', 'raise', 'drain', 'demand'),
+  member: fc.integer({ min: 0, max: members.length - 1 })
+}), { minLength: 4, maxLength: 10 })
+
+interface LinkCase { name: string, lossRatio: number, typicalMs: number, slowRatio: number, slowMs: number }
+
+const links: LinkCase[] = [
+  { name: 'a good link', lossRatio: 0, typicalMs: 2, slowRatio: 0, slowMs: 0 },
+  { name: 'a link that loses messages', lossRatio: 0.3, typicalMs: 5, slowRatio: 0, slowMs: 0 },
+  { name: 'a link that delays and reorders messages', lossRatio: 0.05, typicalMs: 20, slowRatio: 0.2, slowMs: 5000 }
+]
+
+/** Runs a fleet under faults, with more demand than rate, and returns what was violated. */
+function runFleet (link: LinkCase, plan: Fault[], linkSeed: number): string | null {
+  const random = createRandom(linkSeed)
+  const simulation = createSimulation()
+  const admissions: number[] = []
+  const sizes: (FleetWorkspace & { from: number })[] = [{ id: workspace, rate: 40, burst: 20, from: 0 }]
+  const demands = new Map<InstanceId, number>(members.map((member) => [member, 2]))
+  const used = new Map<FleetInstance, number>()
+  const running = new Map<InstanceId, FleetInstance>()
+  const whole: WholeResource = {
+    resource: slots,
+    amount: slotCount,
+    demandOf: (id) => demands.get(id) ?? 0,
+    usedOf: (id) => used.get(running.get(id) as FleetInstance) ?? 0
+  }
+  const delay = (): number | null => {
+    if (random() < link.lossRatio) return null
+    return random() < link.slowRatio ? random() * link.slowMs : random() * link.typicalMs * 2
+  }
+  const fleet = createShareFleet({
+    simulation,
+    workspaces: [sizes[0] as FleetWorkspace],
+    onOutcome: ({ admitted, at }) => { if (admitted) admissions.push(at) },
+    delay,
+    confirmMs: 3,
+    staticParts: null,
+    wholeResources: [whole]
+  })
+  const start = (member: InstanceId): void => {
+    const instance = fleet.start(member, 1 + (random() * 2 - 1) * clockError)
+    running.set(member, instance)
+    used.set(instance, 0)
+  }
+  const resize = (rate: number, burst: number): void => {
+    sizes.push({ id: workspace, rate, burst, from: simulation.now() })
+    fleet.setWorkspaces([{ id: workspace, rate, burst }])
+  }
+  const inject = ({ kind, member }: Fault): void => {
+    const id = members[member] as InstanceId
+    const instance = running.get(id) as FleetInstance
+    if (kind === 'restart' || kind === 'stop') fleet.stop(instance)
+    if (kind === 'restart' || (kind === 'none' && !instance.alive)) start(id)
+    if (kind === 'elect') fleet.electLeader()
+    if (kind === 'lower') resize(10, 4)
+    if (kind === 'raise') resize(60, 30)
+    if (kind === 'drain') instance.draining = true
+    if (kind === 'demand') demands.set(id, Math.floor(random() * 8))
+  }
+  // Holds what both leaders and instances may still count on: two share leases, as a change may fall into a leader's wait.
+  const bound = (at: number): { rate: number, burst: number } => {
+    const counted = sizes.filter((_, index) => (sizes[index + 1]?.from ?? Infinity) + 8300 > at)
+    return { rate: Math.max(...counted.map(({ rate }) => rate)), burst: Math.max(...counted.map(({ burst }) => burst)) }
+  }
+  let violation: string | null = null
+  const check = (): void => {
+    const now = simulation.now()
+    let amount = 0
+    let burst = 0
+    let tokens = 0
+    let slotsHeld = 0
+    let slotsUsed = 0
+    for (const instance of running.values()) {
+      if (!instance.alive) continue
+      const isValid = (validUntil: number): boolean => validUntil > instance.now()
+      const rate = instance.shares().get(rateResource)
+      const slot = instance.shares().get(slots)
+      const slotShare = slot !== undefined && isValid(slot.validUntil) ? slot.amount : 0
+      if (rate !== undefined && isValid(rate.validUntil)) {
+        amount += rate.amount
+        burst += rate.burst
+        tokens += instance.buckets.count(rateResource)
+      }
+      // Work that runs holds its slot; new work begins only within the share; without a share all work is stopped.
+      const before = slotShare === 0 && slot === undefined ? 0 : used.get(instance) ?? 0
+      const wanted = Math.min(slotShare, demands.get(instance.instance) ?? 0)
+      used.set(instance, before < wanted ? wanted : random() < 0.01 ? Math.max(wanted, before - 1) : before)
+      slotsHeld += slotShare
+      slotsUsed += used.get(instance) ?? 0
+      for (let request = 0; request < 2; request++) {
+        if (random() < 0.2) fleet.request(instance, workspace)
+      }
+    }
+    const most = bound(now)
+    const problems = [
+      amount > most.rate + rounding ? `shares of ${amount} exceed the rate ${most.rate}` : null,
+      burst > most.burst + rounding ? `bursts of ${burst} exceed ${most.burst}` : null,
+      tokens > most.burst + rounding ? `tokens of ${tokens} exceed the burst ${most.burst}` : null,
+      slotsHeld > slotCount ? `${slotsHeld} slots are held` : null,
+      slotsUsed > slotCount ? `${slotsUsed} slots are used` : null
+    ]
+    violation ??= problems.find((problem) => problem !== null)?.concat(` at ${now}`) ?? null
+  }
+
+  for (const member of members) start(member)
+  let at = 5000
+  for (const fault of plan) {
+    at += fault.afterMs
+    simulation.after(at, () => inject(fault))
+  }
+  for (let time = 0; time < at + 6000; time += stepMs) {
+    simulation.runUntil(time)
+    check()
+  }
+  if (admissions.length < 40) return `only ${admissions.length} admissions, so that the run shows nothing`
+  return violation ?? checkAdmissions(admissions, bound)
+}
+
+/** A bucket that is never overdrawn shows that each window holds at most rate x time + burst. */
+function checkAdmissions (admissions: number[], bound: (at: number) => { rate: number, burst: number }): string | null {
+  let level = bound(0).burst
+  let last = 0
+  for (const at of admissions) {
+    const { rate, burst } = bound(at)
+    level = Math.min(burst, level + rate * (1 + clockError) * (at - last) / 1000) - 1
+    last = at
+    if (level < -rounding * admissions.length) return `the admission at ${at} exceeds rate and burst by ${-level}`
+  }
+  return null
+}
+
+for (const link of links) {
+  t.test(`shares, slots and admissions stay within their resource under crashes, restarts and leader changes over ${link.name}`, async (t) => {
+    t.doesNotThrow(() => fc.assert(fc.property(faults, fc.integer({ min: 1, max: 1e6 }), (plan, linkSeed) => {
+      const violation = runFleet(link, plan, linkSeed)
+      if (violation !== null) throw new Error(violation)
+    }), { seed, numRuns: 40 }))
+  })
+}
