--- a/src/decisions/failover/advance-group.ts
+++ b/src/decisions/failover/advance-group.ts
@@ -5,7 +5,7 @@
 import { isPrimaryLost, lastProofOfPrimary } from './primary-failure-detector.js'
 import { advanceSwitching, maySwitchOver } from './switchover.js'
 
-/** Takes the next step of a group, as far as its state allows. */
+/** Takes the next steps of a group, as far as its state allows. */
 export function advanceGroup (context: GroupContext): void {
   const { view, record } = context
   noteService(context)
@@ -13,7 +13,12 @@
   const isOvertaken = step.kind !== 'idle' && step.kind !== 'beginning' && view.replicated.term > step.term
   if (isOvertaken) record.step = { kind: 'idle' }
   if (record.step.kind === 'idle' || record.step.kind === 'switching') replaceLostPrimary(context)
-  advanceStep(context)
+  // A step that ends makes way for the next one at once, as writes wait.
+  let last = null
+  while (last !== record.step) {
+    last = record.step
+    advanceStep(context)
+  }
 }
 
 function advanceStep (context: GroupContext): void {
--- a/src/decisions/failover/failover.ts
+++ b/src/decisions/failover/failover.ts
@@ -50,7 +50,7 @@
   function contextOf (group: GroupId, effects: FailoverEffect[]): GroupContext | undefined {
     const view = views.of(group)
     if (view === undefined || published.read() === null) return undefined
-    const record = records.get(group) ?? createGroupRecord(group)
+    const record = records.get(group) ?? createGroupRecord(view)
     records.set(group, record)
     return { view, record, options, effects }
   }
@@ -135,7 +135,9 @@
   const stop = { version: directory.version, publishedAt: view.now }
   const { step } = record
   if (step.kind === 'switching' && group.phase === 'switching' && group.term === step.term) step.stop ??= stop
-  if ((step.kind === 'electing' || step.kind === 'promoting') && group.phase === 'electing' && group.term === step.term) step.plan.stop ??= stop
+  // The log may apply and publish the new term before the proposal is answered.
+  const isElection = step.kind === 'beginning' || step.kind === 'electing' || step.kind === 'promoting'
+  if (isElection && group.phase === 'electing' && group.term === step.term) step.plan.stop ??= stop
   for (const holder of record.holderSince.keys()) {
     if (!group.holders.includes(holder)) record.holderSince.delete(holder)
   }
--- a/src/decisions/failover/group-context.ts
+++ b/src/decisions/failover/group-context.ts
@@ -41,13 +41,13 @@
   effects: FailoverEffect[]
 }
 
-/** @returns the memory of a group at the start of a leadership */
-export function createGroupRecord (group: GroupId): GroupRecord {
+/** @returns the memory of a group at the start of a leadership; a group found in service was so before the leadership began */
+export function createGroupRecord ({ group, replicated, leadership }: GroupView): GroupRecord {
   return {
     group,
     step: { kind: 'idle' },
     releases: createReleaseTracker(),
-    serving: null,
+    serving: replicated.phase === 'serving' && replicated.primary !== null ? { term: replicated.term, since: leadership.since } : null,
     holderSince: new Map(),
     follows: new Map(),
     proposal: null,
--- /dev/null
+++ b/test/decisions/failover/primary-failure-detector.test.ts
@@ -0,0 +1,68 @@
+import t from 'tap'
+import { isPrimaryLost } from '../../../src/decisions/failover/primary-failure-detector.js'
+import { milliseconds } from '../../../src/types/clock.js'
+import { databaseId, groupId, instanceId } from '../../../src/types/ids.js'
+import { registeredDatabase, registeredInstance, statusOf } from './fixtures/group-harness.js'
+
+const NOW = 20_000
+const primary = databaseId('p')
+const serving = statusOf('p', { role: 'primary', term: 2, fencedTerm: 2 })
+
+interface HolderCase {
+  heartbeatAgoMs: number
+  silentForMs: number
+  status?: typeof serving | null
+}
+
+interface DetectorCase {
+  name: string
+  holders: HolderCase[]
+  announcedAgoMs?: number
+  leadingForMs?: number
+  servingForMs?: number
+  lost: boolean
+}
+
+const silent = { heartbeatAgoMs: 10, silentForMs: 1000 }
+const seeing = { heartbeatAgoMs: 10, silentForMs: 100 }
+
+const cases: DetectorCase[] = [
+  { name: 'all holders silent', holders: [silent, silent, silent], lost: true },
+  { name: 'two of three silent', holders: [silent, silent, seeing], lost: true },
+  { name: 'one of three silent', holders: [silent, seeing, seeing], lost: false },
+  { name: 'slow answers just below the bound', holders: [{ heartbeatAgoMs: 10, silentForMs: 999 }, { heartbeatAgoMs: 400, silentForMs: 999 }, silent], lost: false },
+  { name: 'silent holders without recent heartbeats are cut off themselves', holders: [{ heartbeatAgoMs: 1400, silentForMs: 1500 }, { heartbeatAgoMs: 1400, silentForMs: 1500 }, seeing], lost: false },
+  { name: 'a cut off holder that saw the primary does not save it', holders: [silent, silent, { heartbeatAgoMs: 1400, silentForMs: 0 }], lost: true },
+  { name: 'a recent announcement', holders: [silent, silent, silent], announcedAgoMs: 900, lost: false },
+  { name: 'no holders', holders: [], lost: false },
+  { name: 'a leader of less than a second has not heard all announcements', holders: [silent, silent, silent], leadingForMs: 900, lost: false },
+  { name: 'a primary of less than a second', holders: [silent, silent, silent], servingForMs: 900, lost: false },
+  { name: 'a primary that became a replica', holders: [seeing, seeing, seeing].map((holder) => ({ ...holder, status: statusOf('p', { term: 2, fencedTerm: 2 }) })), lost: true },
+  { name: 'a primary that was fenced for a newer term', holders: [seeing, seeing, seeing].map((holder) => ({ ...holder, status: { ...serving, fencedTerm: 3 } })), lost: true },
+  { name: 'a primary that answers under an older term', holders: [seeing, seeing, seeing].map((holder) => ({ ...holder, status: { ...serving, term: 1 } })), lost: true },
+  { name: 'a primary that no holder ever saw', holders: [silent, silent, silent].map((holder) => ({ ...holder, status: null })), lost: true },
+  { name: 'a primary that new holders have not seen yet', holders: [silent, silent, silent].map((holder) => ({ ...holder, status: null })), servingForMs: 1005, lost: false }
+]
+
+for (const { name, holders, announcedAgoMs = 5000, leadingForMs = 10_000, servingForMs = 10_000, lost } of cases) {
+  t.test(`${name}: the primary is ${lost ? '' : 'not '}replaced`, async (t) => {
+    const names = holders.map((_, index) => instanceId(`i${index}`))
+    const instances = new Map(holders.map(({ heartbeatAgoMs, silentForMs, status = serving }, index) => {
+      const arrivedAt = milliseconds(NOW - heartbeatAgoMs)
+      return [instanceId(`i${index}`), registeredInstance(`i${index}`, { lastHeartbeatAt: arrivedAt, observations: new Map([[primary, { status, silentForMs, arrivedAt }]]) })]
+    }))
+    const registered = registeredDatabase(serving, NOW - announcedAgoMs)
+    const view = {
+      now: milliseconds(NOW),
+      leadership: { term: 1, since: milliseconds(NOW - leadingForMs) },
+      group: groupId('g'),
+      replicated: { group: groupId('g'), term: 2, primary, phase: 'serving' as const },
+      members: [{ database: primary, address: registered.announcement.address, weight: 1, registered }],
+      holders: names,
+      instances
+    }
+    const servingSince = milliseconds(NOW - servingForMs)
+    const history = { servingSince, holderSince: new Map(names.map((holder) => [holder, servingSince])) }
+    t.equal(isPrimaryLost(view, history, { primarySilentMs: 1000, holderCutOffMs: 1000 }), lost)
+  })
+}
--- /dev/null
+++ b/test/decisions/membership/registries.test.ts
@@ -0,0 +1,94 @@
+import t from 'tap'
+import { createBlackboard } from '../../../src/blackboard/blackboard.js'
+import { registeredDatabasesEntry, registeredInstancesEntry } from '../../../src/blackboard/control-instance-entries.js'
+import { createDatabaseRegistry } from '../../../src/decisions/membership/database-registry.js'
+import { createInstanceRegistry } from '../../../src/decisions/membership/instance-registry.js'
+import { milliseconds } from '../../../src/types/clock.js'
+import type { Heartbeat } from '../../../src/types/control-message.js'
+import type { Announcement } from '../../../src/types/database-status.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId } from '../../../src/types/ids.js'
+
+interface ClockStep { at: number }
+
+interface HeartbeatStep extends ClockStep { run: string, sequence: number, outcome: string, draining?: boolean }
+
+function heartbeat ({ run, sequence, draining = false }: HeartbeatStep): Heartbeat {
+  return {
+    version: 1,
+    kind: 'heartbeat',
+    sequence,
+    instance: instanceId('i'),
+    incarnation: incarnationId(run),
+    peerAddress: address('h:1'),
+    failureDomain: failureDomainId('d'),
+    draining,
+    leaderTerm: 1,
+    manifestVersion: 1,
+    directoryVersion: null,
+    held: [],
+    demand: [],
+    observations: [],
+    releasedTerms: []
+  }
+}
+
+const heartbeatCases: { name: string, steps: HeartbeatStep[], run: string | undefined }[] = [
+  { name: 'a doubled or overtaken heartbeat does not revive an instance', steps: [{ at: 0, run: 'a', sequence: 2, outcome: 'joined' }, { at: 1400, run: 'a', sequence: 2, outcome: 'ignored' }, { at: 1510, run: 'a', sequence: 1, outcome: 'ignored' }], run: undefined },
+  { name: 'a new incarnation replaces the old one, whose late heartbeats are ignored', steps: [{ at: 0, run: 'a', sequence: 9, outcome: 'joined' }, { at: 100, run: 'b', sequence: 1, outcome: 'joined' }, { at: 200, run: 'a', sequence: 10, outcome: 'ignored' }], run: 'b' },
+  { name: 'an incarnation that a late message replaced wrongly is taken back after one lease', steps: [{ at: 0, run: 'b', sequence: 5, outcome: 'joined' }, { at: 10, run: 'a', sequence: 90, outcome: 'joined' }, { at: 500, run: 'b', sequence: 6, outcome: 'ignored' }, { at: 1600, run: 'b', sequence: 7, outcome: 'joined' }], run: 'b' },
+  { name: 'draining is noticed as a change, so that holders move', steps: [{ at: 0, run: 'a', sequence: 1, outcome: 'joined' }, { at: 500, run: 'a', sequence: 2, outcome: 'unchanged' }, { at: 1000, run: 'a', sequence: 3, outcome: 'changed', draining: true }], run: 'a' },
+  { name: 'an instance is kept for a whole lease with drift', steps: [{ at: 100, run: 'a', sequence: 1, outcome: 'joined' }], run: 'a' }
+]
+
+for (const { name, steps, run } of heartbeatCases) {
+  t.test(name, async (t) => {
+    const blackboard = createBlackboard()
+    let now = 0
+    const registry = createInstanceRegistry({ blackboard, clock: { now: () => milliseconds(now) } })
+    for (const step of steps) {
+      now = step.at
+      registry.tick()
+      t.equal(registry.handle(heartbeat(step)), step.outcome, `at ${step.at}`)
+    }
+    now = Math.max(1600, now)
+    registry.tick()
+    t.equal(blackboard.reader(registeredInstancesEntry).read().get(instanceId('i'))?.incarnation, run)
+  })
+}
+
+interface AnnouncementStep extends ClockStep { run: string, departing: boolean, outcome: string }
+
+function announcement ({ run, departing }: AnnouncementStep): Announcement {
+  return {
+    database: databaseId('d'),
+    group: groupId('g'),
+    address: address('h:2'),
+    failureDomain: failureDomainId('a'),
+    departing,
+    status: { database: databaseId('d'), incarnation: incarnationId(run), role: 'replica', term: 1, fencedTerm: 1, position: { term: 1, offset: 1 }, ageMs: 0 }
+  }
+}
+
+const announcementCases: { name: string, steps: AnnouncementStep[], departing: boolean | undefined, until: number }[] = [
+  { name: 'a delayed older announcement does not bring a departing database back', steps: [{ at: 0, run: 'a', departing: false, outcome: 'announced' }, { at: 100, run: 'a', departing: true, outcome: 'departing' }, { at: 200, run: 'a', departing: false, outcome: 'unchanged' }], departing: true, until: 200 },
+  { name: 'a departure that is taken back ends after two announcement intervals', steps: [{ at: 0, run: 'a', departing: true, outcome: 'announced' }, { at: 1000, run: 'a', departing: false, outcome: 'unchanged' }, { at: 2000, run: 'a', departing: false, outcome: 'returned' }], departing: false, until: 2000 },
+  { name: 'a restarted database is not departing any more, and announcements of its former run are ignored', steps: [{ at: 0, run: 'a', departing: true, outcome: 'announced' }, { at: 500, run: 'b', departing: false, outcome: 'returned' }, { at: 600, run: 'a', departing: true, outcome: 'ignored' }], departing: false, until: 600 },
+  { name: 'an incarnation that a late message replaced wrongly is taken back', steps: [{ at: 0, run: 'b', departing: false, outcome: 'announced' }, { at: 10, run: 'a', departing: true, outcome: 'departing' }, { at: 1000, run: 'b', departing: false, outcome: 'ignored' }, { at: 4000, run: 'b', departing: false, outcome: 'returned' }], departing: false, until: 4000 },
+  { name: 'a departed database is forgotten, so that it no longer counts in the majority', steps: [{ at: 0, run: 'a', departing: true, outcome: 'announced' }], departing: undefined, until: 10_001 },
+  { name: 'a silent database that did not depart stays, as it may hold acknowledged writes', steps: [{ at: 0, run: 'a', departing: false, outcome: 'announced' }], departing: false, until: 3_600_000 }
+]
+
+for (const { name, steps, departing, until } of announcementCases) {
+  t.test(name, async (t) => {
+    const blackboard = createBlackboard()
+    let now = 0
+    const registry = createDatabaseRegistry({ blackboard, clock: { now: () => milliseconds(now) } })
+    for (const step of steps) {
+      now = step.at
+      t.equal(registry.announce(announcement(step)), step.outcome, `at ${step.at}`)
+    }
+    now = until
+    registry.tick()
+    t.equal(blackboard.reader(registeredDatabasesEntry).read().get(databaseId('d'))?.departing, departing)
+  })
+}
