--- a/src/control/operator-service.ts
+++ b/src/control/operator-service.ts
@@ -21,7 +21,7 @@
 const DEFAULT_ANSWER_MS = 5000
 
 /** Burn rows as the service-level aggregator computes them. */
-export type BurnContents = Pick<BurnReport, 'rows' | 'withoutObjectives'>
+export type BurnContents = Pick<BurnReport, 'rows' | 'withoutObjectives' | 'lostIncrements'>
 
 export interface OperatorServiceOptions {
   /** Name of this control instance. */
@@ -128,7 +128,7 @@
     if (name === 'failure-domains') return failureDomainsReport(head, state, summary)
     if (name === 'status') return statusReport(head, state, summary)
     if (name === 'incidents') return { report: 'incidents', ...head, ...options.incidents() }
-    const burn = head.freshness.proven ? options.burn(state) : { rows: [], withoutObjectives: [] }
+    const burn = head.freshness.proven ? options.burn(state) : { rows: [], withoutObjectives: [], lostIncrements: 0 }
     return { report: 'burn', ...head, ...burn }
   }
 
--- a/src/reports/burn-report.ts
+++ b/src/reports/burn-report.ts
@@ -33,6 +33,7 @@
   if (!report.freshness.proven) return lines
   lines.push(...wrapLine('Burn of the error budget; 1 uses it up exactly at the end of its period. -: no requests.'))
   lines.push(...orderBurnRows(report.rows).flatMap(rowLines))
+  if (report.lostIncrements > 0) lines.push(...wrapLine(`INCOMPLETE: ${report.lostIncrements} increments of counts were lost`))
   if (report.withoutObjectives.length > 0) lines.push(...wrapLine(`No objectives: ${report.withoutObjectives.join(', ')}`))
   return lines
 }
--- a/src/types/operator-report.ts
+++ b/src/types/operator-report.ts
@@ -3,6 +3,7 @@
 import type { GroupPhase } from './directory.js'
 import type { LogDetails, LogEventName, LogLevel } from './log-event.js'
 import type { FailoverSummary } from './control-summary.js'
+import type { ObjectiveName } from './service-level.js'
 
 /**
  * Whether the instance that made a report could prove its freshness.
@@ -108,9 +109,6 @@
   workspaces: WorkspaceRow[]
 }
 
-/** What an objective of a workspace measures. */
-export type ObjectiveName = 'availability' | 'latency' | 'staleness'
-
 /** Windows over which burn is computed. */
 export type BurnWindowName = '5min' | '1h' | '6h' | '3d'
 
@@ -128,6 +126,8 @@
   objective: ObjectiveName
   /** Share of requests that must be good. */
   target: number
+  /** Longest time or greatest age of a good request in milliseconds; null for availability. */
+  limitMs: number | null
   windows: BurnValue[]
   /** Burn per hour over the last 3 days, oldest first; null: no requests. */
   history: (number | null)[]
@@ -137,6 +137,8 @@
   report: 'burn'
   /** Workspaces of the manifest that state no objectives. */
   withoutObjectives: WorkspaceId[]
+  /** Increments of counts that never arrived; their requests are missing. */
+  lostIncrements: number
   rows: BurnRow[]
 }
 
--- a/test/support/operator-fixtures.ts
+++ b/test/support/operator-fixtures.ts
@@ -88,7 +88,7 @@
     instance: instanceId('control-1'),
     log,
     summary: () => controlSummary([instanceSummary('entry-1', 200)]),
-    burn: () => ({ rows: [], withoutObjectives: [] }),
+    burn: () => ({ rows: [], withoutObjectives: [], lostIncrements: 0 }),
     incidents: () => ({ incidents: [], dropped: 0 }),
     after: (_durationMs, callback) => {
       const timer = setImmediate(callback)
