--- /dev/null
+++ b/test/reports/burn-page.test.ts
@@ -0,0 +1,39 @@
+import t from 'tap'
+import { burnPage } from '../../src/reports/burn-page.js'
+import { burnPlot } from '../../src/reports/burn-plot.js'
+import { instanceId, workspaceId } from '../../src/types/ids.js'
+import type { BurnReport } from '../../src/types/operator-report.js'
+
+const report: BurnReport = {
+  report: 'burn',
+  freshness: { proven: true, leaderTerm: 7 },
+  madeBy: instanceId('control-1'),
+  madeAt: '2026-12-04T08:00:00.000Z',
+  lostIncrements: 0,
+  withoutObjectives: [],
+  rows: [{ workspace: workspaceId('<script>"x"'), objective: 'availability', target: 0.999, limitMs: null, windows: [{ window: '1h', total: 10, bad: 5, burn: 500 }], history: [0, 2, null, 500] }]
+}
+
+t.test('names can not bring markup into the page, and the page loads nothing', async (t) => {
+  const page = burnPage(report)
+  t.notMatch(page, /<script|https?:|url\(|@import|\son\w+=/)
+  t.match(page, /&lt;script&gt;&quot;x&quot;/)
+  t.match(page, /name="viewport" content="width=device-width/)
+  t.match(page, /<svg viewBox="0 0 320 56"/)
+  t.match(page, /availability 99\.9%/)
+})
+
+t.test('a page that is not proven shows no burn', async (t) => {
+  const page = burnPage({ ...report, freshness: { proven: false, reason: 'not-leader', leaderAddress: null } })
+  t.match(page, /NOT PROVEN/)
+  t.notMatch(page, /<svg|500/)
+})
+
+t.test('a plot places burn 1 in the middle of a quiet history and leaves gaps where nothing was measured', async (t) => {
+  const plot = burnPlot([0, 2, null, 1], 'burn')
+  // 320 x 56 with a margin of 4: burn 0 lies at 52, burn 1 at 28, burn 2 at 4.
+  t.match(plot, /<path class="stroke" d="M4,52L108,4M316,28Z"\/>/)
+  t.match(plot, /y1="28\.0"/)
+  t.notMatch(burnPlot([], 'burn'), /NaN/)
+  t.notMatch(burnPlot([null], 'burn'), /NaN/)
+})
