--- a/src/control/operator-service.ts
+++ b/src/control/operator-service.ts
@@ -8,7 +8,7 @@
 import type { LogEvent } from '../types/log-event.js'
 import type { CommitAnswer, ManifestAnswer, OperatorRefusal } from '../types/operator-answer.js'
 import type { BurnReport, Incident, OperatorReport, ReportFreshness, ReportHead, ReportName } from '../types/operator-report.js'
-import type { ReplicatedState } from '../types/replicated-state.js'
+import type { CommandAnswer, ReplicatedState } from '../types/replicated-state.js'
 import { refuse } from '../types/result-code.js'
 import { contentDigest } from '../utils/content-digest.js'
 import { showManifest } from '../utils/show-manifest.js'
@@ -20,6 +20,8 @@
 /** Time for a majority to answer a commit or a freshness round, in milliseconds. */
 const DEFAULT_ANSWER_MS = 5000
 
+type ConflictAnswer = Extract<CommandAnswer, { kind: 'manifest-conflict' }>
+
 /** Burn rows as the service-level aggregator computes them. */
 export type BurnContents = Pick<BurnReport, 'rows' | 'withoutObjectives' | 'lostIncrements'>
 
@@ -70,6 +72,15 @@
     return { ...refuse('manifestInvalid', 'not-run', message), problems }
   }
 
+  function refuseConflict (base: number, answer: ConflictAnswer): OperatorRefusal {
+    const { currentVersion, winningDigest, winningOperator } = answer
+    const sameContent = log.state().acceptedDigests.filter(({ digest }) => digest === winningDigest)
+    const winner = sameContent.find(({ version }) => version === base + 1) ?? sameContent.at(-1)
+    const message = `version ${currentVersion} is in force; the commit was based on version ${base}`
+    const conflict = { currentVersion, winningVersion: winner?.version ?? null, winningDigest, winningOperator }
+    return { ...refuse('manifestConflict', 'not-run', message), conflict }
+  }
+
   async function propose (operator: string, base: number, document: unknown): Promise<Result<CommitAnswer, OperatorRefusal>> {
     const checked = checkManifest(document)
     if (checked.isErr()) return err(refuseInvalid(checked.error))
@@ -81,9 +92,7 @@
     const { value } = answer
     if (value.kind === 'manifest-accepted') return ok({ manifestVersion: value.manifestVersion, digest, resent: value.resent })
     if (value.kind !== 'manifest-conflict') return err(refuse('internalError', 'unknown', 'the control log answered with another kind of command'))
-    const { currentVersion, winningDigest, winningOperator } = value
-    const message = `version ${currentVersion} is in force, committed by ${winningOperator}; the commit was based on version ${base}`
-    return err({ ...refuse('manifestConflict', 'not-run', message), conflict: { currentVersion, winningDigest, winningOperator } })
+    return err(refuseConflict(base, value))
   }
 
   async function commit (operator: string, base: number, document: unknown): Promise<Result<CommitAnswer, OperatorRefusal>> {
--- a/src/operator/command-line.ts
+++ b/src/operator/command-line.ts
@@ -66,7 +66,7 @@
 /**
  * Runs one command line.
  * @param args - arguments without the program name
- * @returns the exit code, see docs/operations.md
+ * @returns the exit code, see docs/operators.md
  */
 export async function runCommandLine (args: readonly string[], surroundings: Surroundings): Promise<ExitCode> {
   let exitCode: ExitCode = exitCodes.done
--- a/src/operator/exit-code.ts
+++ b/src/operator/exit-code.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the command line, as docs/operations.md lists them. */
+/** Exit codes of the command line, as docs/operators.md lists them. */
 export const exitCodes = {
   done: 0,
   /** An error of the program itself. */
--- a/src/operator/failed-answer.ts
+++ b/src/operator/failed-answer.ts
@@ -26,11 +26,9 @@
   const { refusal } = answer
   const { conflict, problems } = refusal
   if (conflict !== undefined) {
-    const lines = [
-      ...wrapLine(`CONFLICT: version ${conflict.currentVersion} is in force`),
-      ...wrapLine(`  content ${conflict.winningDigest.slice(0, DIGEST_SHOWN)}, committed by ${conflict.winningOperator}`),
-      ...wrapLine('Nothing was changed.')
-    ]
+    const { currentVersion, winningVersion, winningDigest, winningOperator } = conflict
+    const winner = winningVersion === null ? 'No manifest was accepted yet.' : `Version ${winningVersion}: content ${winningDigest.slice(0, DIGEST_SHOWN)}, committed by ${winningOperator}`
+    const lines = [...wrapLine(`CONFLICT: version ${currentVersion} is in force`), ...wrapLine(winner), ...wrapLine('This commit changed nothing.')]
     return { exitCode: exitCodes.conflict, lines, data: { error: 'manifest-conflict', ...conflict } }
   }
   const shown = (problems ?? []).flatMap(({ path, message }) => wrapLine(`  ${path}: ${message}`))
--- a/src/types/operator-answer.ts
+++ b/src/types/operator-answer.ts
@@ -23,12 +23,14 @@
   leaderAddress?: Address | null
   /** With `manifest-invalid`: everything that is wrong. */
   problems?: FieldProblem[]
-  /** With `manifest-conflict`: the version, content digest and operator that won. */
+  /** With `manifest-conflict`: what won. */
   conflict?: ManifestConflict
 }
 
 export interface ManifestConflict {
   currentVersion: number
+  /** Version that the winning digest belongs to: the one that was asked for, or the current one; null: none was accepted yet. */
+  winningVersion: number | null
   winningDigest: string
   winningOperator: string
 }
--- a/test/adapters/http/operator-server.test.ts
+++ b/test/adapters/http/operator-server.test.ts
@@ -65,7 +65,15 @@
   const send = await start(t)
   const first = await send('POST', '/v1/manifest', { base: 0, manifest })
   const second = await send('POST', '/v1/manifest', { base: 0, manifest: { ...manifest, workspaces: [] } })
-  t.match(second.body, { code: 4006, outcome: 'not-run', conflict: { currentVersion: 1, winningDigest: first.body.digest, winningOperator: 'alice' } })
+  t.match(second.body, { code: 4006, outcome: 'not-run', conflict: { currentVersion: 1, winningVersion: 1, winningDigest: first.body.digest, winningOperator: 'alice' } })
+})
+
+t.test('a late commit learns what won its own version, not only what is in force by now', async (t) => {
+  const send = await start(t)
+  const first = await send('POST', '/v1/manifest', { base: 0, manifest })
+  await send('POST', '/v1/manifest', { base: 1, manifest: { ...manifest, workspaces: [] } })
+  const late = await send('POST', '/v1/manifest', { base: 0, manifest: { ...manifest, workspaces: [] } })
+  t.match(late.body, { code: 4006, conflict: { currentVersion: 2, winningVersion: 1, winningDigest: first.body.digest } })
 })
 
 t.test('the manifest is shown without digests of keys', async (t) => {
--- a/test/operator/command-line.test.ts
+++ b/test/operator/command-line.test.ts
@@ -45,7 +45,8 @@
   const conflict = await commit(otherFile, '0')
   t.equal(conflict.exitCode, 3)
   t.match(conflict.all, /version 1 is in\s+force/)
-  t.match(conflict.all, /alice/)
+  t.match(conflict.all, /Version 1: content [0-9a-f]{12},\s+committed by alice/)
+  t.match((await commit(manifestFile, '5')).all, /Version 1:/, 'a base above the current version')
   log.fail = { kind: 'unknown' }
   log.applyOnFailure = true
   t.equal((await commit(otherFile, '1')).exitCode, 4)
--- a/test/support/operator-fixtures.ts
+++ b/test/support/operator-fixtures.ts
@@ -1,6 +1,7 @@
 import { err, ok } from 'neverthrow'
 import type { OperatorService, OperatorServiceOptions } from '../../src/control/operator-service.js'
 import { createOperatorService } from '../../src/control/operator-service.js'
+import type { OperatorServerOptions } from '../../src/adapters/http/operator-server.js'
 import { listenForOperators } from '../../src/adapters/http/operator-server.js'
 import { burnPage } from '../../src/reports/burn-page.js'
 import type { ControlLog, ControlLogFailure } from '../../src/types/control-log.js'
@@ -51,7 +52,7 @@
   function apply (base: number, next: Manifest, digest: string, operator: string): CommandAnswer {
     const existing = state.acceptedDigests.find(({ version }) => version === base + 1)
     if (existing?.digest === digest) return { kind: 'manifest-accepted', manifestVersion: base + 1, resent: true }
-    const winner = state.acceptedDigests.at(-1)
+    const winner = existing ?? state.acceptedDigests.at(-1)
     if (base !== state.manifestVersion) return { kind: 'manifest-conflict', currentVersion: state.manifestVersion, winningDigest: winner?.digest ?? '', winningOperator: winner?.operator ?? '' }
     state.manifestVersion = base + 1
     state.manifest = next
@@ -101,15 +102,15 @@
 }
 
 /** Serves a service on a free loopback port. */
-export async function serveOperators (service: OperatorService, manifestBytes = 64 * 1024): Promise<{ address: string, close: () => Promise<void> }> {
+export async function serveOperators (service: OperatorService, manifestBytes = 64 * 1024, tls: OperatorServerOptions['tls'] = null): Promise<{ address: string, reloadTls: () => void, close: () => Promise<void> }> {
   const server = await listenForOperators({
     host: '127.0.0.1',
     port: 0,
-    tls: null,
+    tls,
     manifestBytes,
     operators: [{ name: 'alice', digest: digestKey(CREDENTIAL) }],
     requests: { ...service, page: async () => burnPage(await service.report('burn') as BurnReport) },
     logEvent: () => {}
   })
-  return { address: `127.0.0.1:${server.port}`, close: server.close }
+  return { address: `127.0.0.1:${server.port}`, reloadTls: server.reloadTls, close: server.close }
 }
