--- a/src/decisions/service-levels/request-recorder.ts
+++ b/src/decisions/service-levels/request-recorder.ts
@@ -16,7 +16,7 @@
   incarnation: IncarnationId
   /** Time between increments in milliseconds. Default 10,000: the finest interval that the aggregator keeps. */
   intervalMs?: number
-  /** An increment that is not acknowledged for this long is sent again, in milliseconds. Default 2,000. */
+  /** An increment that is not acknowledged for this long is sent again, in milliseconds. Default 15,000: three batches of the leader. */
   resendMs?: number
 }
 
@@ -52,7 +52,7 @@
 export function createRequestRecorder (options: RequestRecorderOptions): Controller<RecorderMessage, RecorderEffect> {
   const { clock, instance, incarnation } = options
   const intervalMs = options.intervalMs ?? 10_000
-  const resendMs = options.resendMs ?? 2000
+  const resendMs = options.resendMs ?? 15_000
   const manifest = options.blackboard.reader(manifestEntry)
   let waiting = new Map<WorkspaceId, Tallies>()
   let underWay: ServiceLevelIncrement | null = null
