disk: durable storage of a control member

Votes and appends may be answered only once they are synced, and a member whose folder was emptied must get a new id. The storage groups the appends of one moment into one record and one sync, cuts a torn last record off and refuses a folder with damage elsewhere without changing it. The member id file is created last, so that a missing log is noticed.

--- /dev/null
+++ b/src/adapters/disk/control-storage.ts
@@ -0,0 +1,161 @@
+import { randomUUID } from 'node:crypto'
+import { access, constants, mkdir, open } from 'node:fs/promises'
+import type { FileHandle } from 'node:fs/promises'
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import type { ControlStorage, DurableRecord, RestoredMember, StorageFailure } from '../../types/control-storage.js'
+import type { MemberId } from '../../types/ids.js'
+import { memberId } from '../../types/ids.js'
+import { resultCodes } from '../../types/result-code.js'
+import { dataFolderPaths } from './data-folder.js'
+import type { DataFolderPaths } from './data-folder.js'
+import { readFileIfPresent, replaceFile } from './durable-file.js'
+import { encodeFrame } from './log-frame.js'
+import type { LogFileHeader, ReadMember } from './restore-member.js'
+import { LogDamage, readMember } from './restore-member.js'
+
+export interface OpenedControlStorage {
+  storage: ControlStorage
+  restored: RestoredMember
+  /** Bytes of an incomplete last record that were cut off; 0 as a rule. */
+  cutBytes: number
+}
+
+/**
+ * Opens the data folder of a control member; creates its files on the first start.
+ * @param dataFolder - path; created if its parent exists
+ * @returns dataFolderUnusable when it can't be read or written; logDamaged, with nothing changed, when its content is damaged
+ */
+export async function openControlStorage (dataFolder: string): Promise<Result<OpenedControlStorage, StorageFailure>> {
+  const paths = dataFolderPaths(dataFolder)
+  try {
+    await createFolder(dataFolder)
+    await access(dataFolder, constants.R_OK | constants.W_OK | constants.X_OK)
+    const { restored, validLogBytes } = await readFolder(paths) ?? await createFiles(paths)
+    const log = await open(paths.log, 'r+')
+    const { size } = await log.stat()
+    if (size > validLogBytes) {
+      await log.truncate(validLogBytes)
+      await log.sync()
+    }
+    return ok({ storage: createStorage(paths, restored.member, log, validLogBytes), restored, cutBytes: size - validLogBytes })
+  } catch (error) {
+    const name = error instanceof LogDamage ? 'logDamaged' : 'dataFolderUnusable'
+    return err({ code: resultCodes[name].code, message: `data folder ${dataFolder}: ${messageOf(error)}` })
+  }
+}
+
+const messageOf = (error: unknown): string => error instanceof Error ? error.message : String(error)
+
+async function createFolder (path: string): Promise<void> {
+  try {
+    await mkdir(path, { mode: 0o700 })
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== 'EEXIST') throw error
+  }
+}
+
+/** @returns null when the folder was not used before */
+async function readFolder (paths: DataFolderPaths): Promise<ReadMember | null> {
+  const member = await readFileIfPresent(paths.member)
+  const log = await readFileIfPresent(paths.log)
+  const snapshot = await readFileIfPresent(paths.snapshot)
+  if (member === null) {
+    // The log is created before the member id; a crash in between leaves a log with a header only.
+    if (snapshot !== null || (log !== null && !holdsHeaderOnly(log))) throw new LogDamage('the file member-id is missing')
+    return null
+  }
+  if (log === null) throw new LogDamage('the file control.log is missing')
+  return readMember({ member: memberId(member.toString('utf8')), log, snapshot })
+}
+
+function holdsHeaderOnly (log: Buffer): boolean {
+  return log.length === encodeFrame(logFileHeader(memberId(randomUUID()), 0)).length
+}
+
+async function createFiles (paths: DataFolderPaths): Promise<ReadMember> {
+  const member = memberId(randomUUID())
+  const header = encodeFrame(logFileHeader(member, 0))
+  await replaceFile(paths.log, header)
+  await replaceFile(paths.member, Buffer.from(member, 'utf8'))
+  const restored: RestoredMember = { member, vote: { term: 0, votedFor: null }, snapshot: null, entries: [] }
+  return { restored, validLogBytes: header.length }
+}
+
+function logFileHeader (member: MemberId, snapshotIndex: number): LogFileHeader {
+  return { formatVersion: 1, member, snapshotIndex }
+}
+
+interface PendingWrite {
+  records: DurableRecord[]
+  resolve: (result: Result<void, StorageFailure>) => void
+}
+
+function createStorage (paths: DataFolderPaths, member: MemberId, openedLog: FileHandle, validLogBytes: number): ControlStorage {
+  let log = openedLog
+  let logEnd = validLogBytes
+  let pending: PendingWrite[] = []
+  let writing: Promise<void> | null = null
+  let failure: StorageFailure | null = null
+
+  async function writeAll (): Promise<void> {
+    // Calls of the same turn of the event loop share the first sync.
+    await Promise.resolve()
+    while (pending.length > 0) {
+      const batch = pending
+      pending = []
+      const result = await writeBatch(batch.flatMap((write) => write.records))
+      for (const write of batch) write.resolve(result)
+    }
+    writing = null
+  }
+
+  async function writeBatch (records: DurableRecord[]): Promise<Result<void, StorageFailure>> {
+    if (failure !== null) return err(failure)
+    try {
+      const lastSnapshot = records.findLastIndex((record) => record.kind === 'snapshot')
+      if (lastSnapshot >= 0) await writeSnapshot(records[lastSnapshot] as DurableRecord)
+      // A snapshot record carries everything that the records before it left valid.
+      const following = records.slice(lastSnapshot + 1)
+      if (following.length > 0) await appendFrame(encodeFrame(following))
+      return ok(undefined)
+    } catch (error) {
+      // After a failed sync the content of the file is unknown, so nothing more may be promised.
+      failure = { code: resultCodes.dataFolderUnusable.code, message: `writing ${paths.log}: ${messageOf(error)}` }
+      return err(failure)
+    }
+  }
+
+  async function appendFrame (frame: Buffer): Promise<void> {
+    let written = 0
+    while (written < frame.length) {
+      const { bytesWritten } = await log.write(frame, written, frame.length - written, logEnd + written)
+      written += bytesWritten
+    }
+    await log.datasync()
+    logEnd += frame.length
+  }
+
+  async function writeSnapshot (record: DurableRecord): Promise<void> {
+    if (record.kind !== 'snapshot') return
+    await replaceFile(paths.snapshot, encodeFrame(record.snapshot))
+    const header = encodeFrame(logFileHeader(member, record.snapshot.index))
+    const rest: DurableRecord[] = [{ kind: 'vote', vote: record.vote }, { kind: 'entries', entries: record.entries }]
+    const content = Buffer.concat([header, encodeFrame(rest)])
+    await replaceFile(paths.log, content)
+    await log.close()
+    log = await open(paths.log, 'r+')
+    logEnd = content.length
+  }
+
+  return {
+    persist: (records) => new Promise((resolve) => {
+      pending.push({ records, resolve })
+      writing ??= writeAll()
+    }),
+    close: async () => {
+      await writing
+      await log.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/disk/durable-file.ts
@@ -0,0 +1,36 @@
+import { open, readFile, rename } from 'node:fs/promises'
+import { dirname } from 'node:path'
+
+/** Syncs a folder, which makes created and renamed files in it durable. */
+export async function syncFolder (path: string): Promise<void> {
+  const folder = await open(path, 'r')
+  try {
+    await folder.sync()
+  } finally {
+    await folder.close()
+  }
+}
+
+/** Replaces a file so that after a crash either the old or the new content is there. */
+export async function replaceFile (path: string, content: Buffer): Promise<void> {
+  const temporary = `${path}.tmp`
+  const file = await open(temporary, 'w', 0o600)
+  try {
+    await file.writeFile(content)
+    await file.sync()
+  } finally {
+    await file.close()
+  }
+  await rename(temporary, path)
+  await syncFolder(dirname(path))
+}
+
+/** @returns the content, or null when there is no such file */
+export async function readFileIfPresent (path: string): Promise<Buffer | null> {
+  try {
+    return await readFile(path)
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return null
+    throw error
+  }
+}
--- /dev/null
+++ b/src/adapters/timers/repeat-by-timer.ts
@@ -0,0 +1,7 @@
+import type { Repeat } from '../../types/repeat.js'
+
+/** Repeats a task by a timer of the process. */
+export const repeatByTimer: Repeat = (intervalMs, task) => {
+  const timer = setInterval(task, intervalMs)
+  return () => clearInterval(timer)
+}
--- a/src/decisions/consensus/member-core.ts
+++ b/src/decisions/consensus/member-core.ts
@@ -52,13 +52,15 @@
 
 export function createMemberCore (options: ResolvedConsensusOptions, restored: RestoredMember): MemberCore {
   const log = createReplicatedLog(restored.snapshot, restored.entries)
+  // A crash between a received snapshot and its vote record leaves a vote of an earlier term, which binds no longer.
+  const isVoteOld = restored.vote.term < log.lastTerm()
   const core: MemberCore = {
     options,
     self: restored.member,
     log,
     role: 'follower',
-    term: restored.vote.term,
-    votedFor: restored.vote.votedFor,
+    term: isVoteOld ? log.lastTerm() : restored.vote.term,
+    votedFor: isVoteOld ? null : restored.vote.votedFor,
     leader: null,
     leaderHeardAt: null,
     electionDue: options.clock.now(),
--- a/test/decisions/consensus/consensus-property.test.ts
+++ b/test/decisions/consensus/consensus-property.test.ts
@@ -94,7 +94,7 @@
     coverage = { ...noCoverage }
     fc.assert(fc.property(fc.integer(), fc.array(stepArbitrary, { minLength: 10, maxLength: 60, size: 'max' }), (seed, steps) => {
       checkSchedule(size, seed, steps)
-    }), { seed: SEED, numRuns: RUNS })
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
     t.comment(`seed ${SEED}, ${RUNS} schedules: ${JSON.stringify(coverage)}`)
     for (const [what, count] of Object.entries(coverage)) {
       t.ok(count >= RUNS / 4, `the schedules reach enough cases of: ${what}`)
