control: runner of the replicated log

The controller does no I/O. The runner connects it to the data folder, a transport and a timer, and offers it as ControlLog. It stops the member when the data folder can't be written, since a failed sync leaves the content of the file unknown.

--- /dev/null
+++ b/src/control/control-log-runner.ts
@@ -0,0 +1,146 @@
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import { openControlStorage } from '../adapters/disk/control-storage.js'
+import type { OpenedControlStorage } from '../adapters/disk/control-storage.js'
+import { createConsensusController } from '../decisions/consensus/consensus-controller.js'
+import type { ConsensusEffect, ConsensusInput } from '../decisions/consensus/consensus-effect.js'
+import { applyCommand, emptyReplicatedState } from '../decisions/manifest/apply-command.js'
+import type { ConsensusMessage } from '../types/consensus-message.js'
+import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
+import type { DurableRecord, StorageFailure } from '../types/control-storage.js'
+import type { CommandAnswer } from '../types/replicated-state.js'
+import { resultCodes } from '../types/result-code.js'
+import type { ControlLogOptions, ResolvedControlLogOptions } from './control-log-options.js'
+import { resolveControlLogOptions } from './control-log-options.js'
+import { createOpenCalls } from './open-calls.js'
+
+/** The replicated log of a running control member. */
+export interface ControlLogRunner extends ControlLog {
+  /** Takes a message of another member. */
+  receive: (message: ConsensusMessage) => void
+  /** Stops the member; open proposals become unknown. */
+  stop: () => Promise<void>
+}
+
+/** Well below the heartbeat of 75 ms, so that heartbeats and election timeouts are kept closely. */
+const TICK_MS = 25
+
+/**
+ * Opens the data folder and starts the member.
+ * @returns settingsInvalid, dataFolderUnusable or logDamaged when the member can't start
+ */
+export async function startControlLog (options: ControlLogOptions): Promise<Result<ControlLogRunner, StorageFailure>> {
+  const resolved = resolveControlLogOptions(options)
+  const mistake = findMistake(resolved)
+  if (mistake !== null) return err({ code: resultCodes.settingsInvalid.code, message: mistake })
+  const opened = await openControlStorage(resolved.dataFolder)
+  if (opened.isErr()) return err(opened.error)
+  if (opened.value.cutBytes > 0) resolved.logEvent('logTailCut', { bytes: opened.value.cutBytes })
+  return ok(createRunner(resolved, opened.value))
+}
+
+function findMistake (options: ResolvedControlLogOptions): string | null {
+  if (!options.memberAddresses.includes(options.ownAddress)) return `the member addresses do not include the own address ${options.ownAddress}`
+  if (new Set(options.memberAddresses).size < options.memberAddresses.length) return 'a member address is listed twice'
+  return null
+}
+
+function createRunner (options: ResolvedControlLogOptions, { storage, restored }: OpenedControlStorage): ControlLogRunner {
+  const controller = createConsensusController({
+    ownAddress: options.ownAddress,
+    entryAddress: options.entryAddress,
+    memberAddresses: options.memberAddresses,
+    clock: options.clock,
+    random: options.random,
+    initialState: emptyReplicatedState(),
+    apply: applyCommand,
+    snapshotThreshold: options.snapshotThreshold
+  }, restored)
+  const proposals = createOpenCalls<CommandAnswer>()
+  const confirmations = createOpenCalls<number>()
+  const listeners: (() => void)[] = []
+  const effects: ConsensusEffect[] = []
+  let isCarryingOut = false
+  let isStopped = false
+
+  // Carrying out an effect can bring the next input. Its effects must come after those that are still open.
+  function carryOutAll (added: ConsensusEffect[]): void {
+    effects.push(...added)
+    if (isCarryingOut) return
+    isCarryingOut = true
+    try {
+      for (let effect = effects.shift(); effect !== undefined; effect = effects.shift()) carryOut(effect)
+    } finally {
+      isCarryingOut = false
+    }
+  }
+
+  function carryOut (effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case 'send': return options.transport.send(effect.to, effect.message)
+      case 'persist': return persist(effect.sequence, effect.records)
+      case 'proposal-result': return proposals.settle(effect.proposal, effect.result)
+      case 'confirmation-result': return confirmations.settle(effect.confirmation, effect.result)
+      case 'changed': return listeners.forEach((listener) => listener())
+      case 'log': return options.logEvent(effect.event, effect.details)
+    }
+  }
+
+  function persist (sequence: number, records: DurableRecord[]): void {
+    storage.persist(records).then((result) => {
+      if (result.isOk()) handle({ kind: 'persisted', sequence })
+      else fail(result.error)
+    })
+  }
+
+  function handle (input: ConsensusInput): void {
+    if (!isStopped) carryOutAll(controller.handle(input))
+  }
+
+  function end (): void {
+    isStopped = true
+    stopTicking()
+    proposals.settleAll(err({ kind: 'unknown' }))
+    confirmations.settleAll(err({ kind: 'unknown' }))
+  }
+
+  function fail (failure: StorageFailure): void {
+    if (isStopped) return
+    end()
+    options.logEvent('failed', { code: failure.code, message: failure.message })
+    options.onFailure(failure)
+    listeners.forEach((listener) => listener())
+  }
+
+  const leaderAddress = () => isStopped ? null : controller.view().leaderAddress
+  const notLeader = (): ControlLogFailure => ({ kind: 'not-leader', leaderAddress: leaderAddress() })
+
+  const stopTicking = options.repeat(TICK_MS, () => {
+    if (!isStopped) carryOutAll(controller.tick())
+  })
+
+  return {
+    isLeader: () => !isStopped && controller.view().role === 'leader',
+    leaderAddress,
+    term: () => controller.view().term,
+    state: () => controller.view().state,
+    propose: async (command) => {
+      if (isStopped) return err(notLeader())
+      const { number, result } = proposals.open()
+      handle({ kind: 'propose', proposal: number, command })
+      return await result
+    },
+    confirmLeadership: async () => {
+      if (isStopped) return err(notLeader())
+      const { number, result } = confirmations.open()
+      handle({ kind: 'confirm', confirmation: number })
+      return await result
+    },
+    onChange: (listener) => { listeners.push(listener) },
+    receive: (message) => handle({ kind: 'received', message }),
+    stop: async () => {
+      if (!isStopped) end()
+      await storage.close()
+    }
+  }
+}
