--- a/src/operator/ask-control.ts
+++ b/src/operator/ask-control.ts
@@ -55,6 +55,11 @@
   return freshness?.proven === false
 }
 
+/** A proxy or another server may answer 200 with a page of its own. */
+function isControlAnswer (body: unknown): boolean {
+  return typeof body === 'object' && body !== null && ('manifestVersion' in body || 'report' in body)
+}
+
 /** Keeps what a refusal by one instance tells. */
 function noteRefusal (progress: Progress, address: Address, refusal: OperatorRefusal, request: ControlRequest): void {
   progress.attempts.push({ address, message: refusal.message })
@@ -70,8 +75,9 @@
     return { answer: null, hint: null }
   }
   const { status, body } = sent.value
-  if (status === 200 && !isUnproven(body)) return { answer: { kind: 'answered', body }, hint: null }
-  if (status === 200) {
+  const answered = status === 200 && isControlAnswer(body)
+  if (answered && !isUnproven(body)) return { answer: { kind: 'answered', body }, hint: null }
+  if (answered) {
     progress.unproven = body
     progress.attempts.push({ address, message: 'the instance could not prove its freshness' })
     const { freshness } = body as { freshness: ReportFreshness }
--- a/src/reports/failure-domains-report.ts
+++ b/src/reports/failure-domains-report.ts
@@ -49,7 +49,7 @@
   const state = row.state === null ? 'NOT IN THE MANIFEST' : row.state.toUpperCase()
   const lines = wrapLine(`${row.failureDomain}: ${state}`)
   const unknown = row.instances.filter((instance) => instance.state !== 'in-force')
-  lines.push(...wrapLine(`  ${row.instances.length - unknown.length} of ${row.instances.length} instances proven`))
+  lines.push(...wrapLine(`  ${row.instances.length - unknown.length} of ${row.instances.length} instances up to date`))
   lines.push(...unknown.flatMap((instance) => instanceLines(instance)))
   const problems = row.databases.flatMap((database) => {
     const problem = databaseProblem(database, row.state === 'out')
