--- a/src/operator/command-line.ts
+++ b/src/operator/command-line.ts
@@ -70,6 +70,7 @@
  */
 export async function runCommandLine (args: readonly string[], surroundings: Surroundings): Promise<ExitCode> {
   let exitCode: ExitCode = exitCodes.done
+  const wantsJson = args.includes('--json')
 
   async function print (flags: CommonFlags, run: Run): Promise<void> {
     const output = await run()
@@ -86,7 +87,7 @@
     .description('Commits manifests and reads reports.')
     .exitOverride()
     .configureHelp({ helpWidth: WIDTH })
-    .configureOutput({ writeOut: surroundings.out, writeErr: surroundings.error, getOutHelpWidth: () => WIDTH, getErrHelpWidth: () => WIDTH, outputError: (text, write) => { write(wrapLine(text.trim()).join('\n') + '\n') } })
+    .configureOutput({ writeOut: surroundings.out, writeErr: surroundings.error, getOutHelpWidth: () => WIDTH, getErrHelpWidth: () => WIDTH, outputError: (text, write) => { if (!wantsJson) write(wrapLine(text.trim()).join('\n') + '\n') } })
 
   const manifest = program.command('manifest').description('the configuration of the deployment')
   withJson(manifest.command('check <file>').description('check a file without a control instance'))
@@ -122,7 +123,9 @@
     await program.parseAsync(args, { from: 'user' })
   } catch (error) {
     if (!(error instanceof CommanderError)) throw error
-    return error.exitCode === 0 ? exitCodes.done : exitCodes.badInput
+    if (error.exitCode === 0) return exitCodes.done
+    if (wantsJson) surroundings.out(JSON.stringify({ exitCode: exitCodes.badInput, error: 'usage', message: error.message }) + '\n')
+    return exitCodes.badInput
   }
   return exitCode
 }
--- a/test/operator/command-line.test.ts
+++ b/test/operator/command-line.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import t from 'tap'
@@ -110,9 +110,20 @@
     t.match(error.replaceAll(/\s+/g, ' '), expected)
     t.equal(out, '')
     t.ok(error.split('\n').every((line) => line.length <= 40), error)
+    const json = await run([...args, '--json'])
+    t.equal((JSON.parse(json.out) as { exitCode: number }).exitCode, 2, 'a pipeline can read every failure')
+    t.equal(json.error, '')
   })
 }
 
+t.test('the burn report is written as a page, and a file that can not be written is told', async (t) => {
+  const flags = await serve(t)
+  const page = join(folder, 'burn.html')
+  t.equal((await run(['report', 'burn', '--html', page, ...flags])).exitCode, 0)
+  t.match(readFileSync(page, 'utf8'), /^<!doctype html>/)
+  t.equal((await run(['report', 'burn', '--html', join(folder, 'none', 'burn.html'), ...flags])).exitCode, 2)
+})
+
 t.test('every problem of a settings file is listed with its line, and no secret is quoted', async (t) => {
   const secret = 'cluster-secret-0123456789'
   const settings = file('settings.json', { instance: '', clusterSecret: secret, operators: { port: 'x' } })
