coordinator: a round confirms only the heartbeat that it was begun for

A heartbeat that arrived during a round was answered by that round, because the connection, not the heartbeat, waited for it. The heartbeat waits now.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -42,6 +42,12 @@
   failover?: Omit<FailoverOptions, 'blackboard' | 'clock'>
 }
 
+/** A heartbeat that waits for its round. The connection may have a later one by then, which the round does not cover. */
+interface PendingAnswer {
+  connection: EntryConnection
+  heartbeat: Heartbeat
+}
+
 /** The part of a control instance that talks to entry instances and databases while it leads. */
 export interface Coordinator {
   /** Takes a connection of an entry instance into use. */
@@ -78,7 +84,7 @@
   const lost = createLostInstances()
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, orders, logEvent, deliver: failoverOutcome })
-  const leadership = createLeadership<EntryConnection>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
+  const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
   let sharesAreStale = true
 
   function leadershipBegan (term: number): void {
@@ -103,8 +109,8 @@
     send(connection, { version: 1, kind: 'not-leader', leaderAddress: log.leaderAddress() })
   }
 
-  function refuseAll (refused: EntryConnection[]): void {
-    for (const { name } of refused) refer(name)
+  function refuseAll (refused: PendingAnswer[]): void {
+    for (const { connection } of refused) refer(connection.name)
   }
 
   function publishedState (): PublishedState {
@@ -112,15 +118,14 @@
     return { manifestVersion, manifest, directory: entries.directory.read() }
   }
 
-  function answerAll (waiting: EntryConnection[]): void {
+  function answerAll (waiting: PendingAnswer[]): void {
     const state = publishedState()
-    for (const connection of waiting) answer(connection, state)
+    for (const pending of waiting) answer(pending, state)
   }
 
-  function answer (connection: EntryConnection, state: PublishedState): void {
-    const { heartbeat } = connection
+  function answer ({ connection, heartbeat }: PendingAnswer, state: PublishedState): void {
     // The connection may have ended, or the instance may have moved to another one, during the round.
-    if (heartbeat === null || connections.ofInstance(heartbeat.instance) !== connection) return
+    if (connections.ofInstance(heartbeat.instance) !== connection) return
     connections.pushMissing(connection, state)
     send(connection.name, {
       version: 1,
@@ -145,7 +150,7 @@
     const { instance, incarnation, draining, leaderTerm, held, demand } = heartbeat
     allocator.report({ instance, incarnation, draining, leaderTerm, held, demand })
     failoverMessage({ kind: 'heartbeat-arrived' })
-    leadership.confirm(connection, connections.attach(connection))
+    leadership.confirm(connection, { connection: connections.attach(connection), heartbeat })
   }
 
   function takeAnnouncement (announcement: Announcement): void {
@@ -248,8 +253,9 @@
     for (const instance of allocator.takeChanged()) {
       const connection = connections.ofInstance(instance)
       const registered = entries.instances.read().get(instance)
-      if (connection === undefined || registered === undefined || clock.now() - registered.lastHeartbeatAt >= REPEATABLE_ANSWER_MS) continue
-      leadership.confirm(connection.name, connection)
+      const heartbeat = connection?.heartbeat ?? null
+      if (connection === undefined || heartbeat === null || registered === undefined || clock.now() - registered.lastHeartbeatAt >= REPEATABLE_ANSWER_MS) continue
+      leadership.confirm(connection.name, { connection, heartbeat })
     }
   }
 
--- /dev/null
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -0,0 +1,213 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import t from 'tap'
+import { createCoordinator } from '../../src/control/coordinator.js'
+import { milliseconds } from '../../src/types/clock.js'
+import type { ControlLogFailure } from '../../src/types/control-log.js'
+import type { ControlToEntry, Heartbeat } from '../../src/types/control-message.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId } from '../../src/types/ids.js'
+import type { ResourceId } from '../../src/types/ids.js'
+import type { ReplicatedState } from '../../src/types/replicated-state.js'
+import type { ResourceSize } from '../../src/types/share-allocator.js'
+import { statusOf } from '../decisions/failover/fixtures/group-harness.js'
+import { createStubAllocator } from './fixtures/world.js'
+
+type Confirmation = (result: Result<number, ControlLogFailure>) => void
+
+const settled = () => new Promise((resolve) => { setImmediate(resolve) })
+
+function stateOf (manifestVersion: number): ReplicatedState {
+  const group = { id: groupId('g'), slots: 5, connections: 30 }
+  const workspace = { id: 'w' as never, group: group.id, rate: 100, burst: 20, weight: 1, keys: [] }
+  return { manifestVersion, manifest: { formatVersion: 1, failureDomains: [], groups: [group], workspaces: [workspace], routes: [] }, acceptedDigests: [], groups: [] }
+}
+
+/** A coordinator whose log does what the test says. */
+async function startCoordinator () {
+  let now = 1000
+  let leading = true
+  let state = stateOf(1)
+  let notify = () => {}
+  const confirmations: Confirmation[] = []
+  const sent: ControlToEntry[] = []
+  const renewed: string[] = []
+  const changed: string[] = []
+  let resources: ReadonlyMap<ResourceId, ResourceSize> = new Map()
+  const noOrders = () => new Promise<never>(() => {})
+  const coordinator = createCoordinator({
+    clock: { now: () => milliseconds(now) },
+    logEvent: () => {},
+    orders: { status: noOrders, fence: noOrders, promote: noOrders, follow: noOrders },
+    send: (_, message) => sent.push(message),
+    allocator: {
+      ...createStubAllocator(),
+      setResources: (sizes) => { resources = sizes },
+      takeChanged: () => changed.splice(0).map(instanceId),
+      renew: (instance) => {
+        renewed.push(instance)
+        return []
+      }
+    },
+    log: {
+      isLeader: () => leading,
+      leaderAddress: () => leading ? null : address('other:1'),
+      term: () => 7,
+      state: () => state,
+      propose: async () => ok({ kind: 'group-conflict', group: { group: groupId(''), term: 0, primary: null, phase: 'serving' } }),
+      confirmLeadership: () => new Promise((resolve) => { confirmations.push(resolve) }),
+      onChange: (listener) => { notify = listener }
+    }
+  })
+  await settled()
+  return {
+    coordinator,
+    confirmations,
+    renewed,
+    resources: () => resources,
+    change: (instance: string) => changed.push(instance),
+    take: () => sent.splice(0),
+    wait: (durationMs: number) => {
+      now += durationMs
+      coordinator.tick()
+    },
+    commit: (version: number) => {
+      state = stateOf(version)
+      notify()
+    },
+    depose: () => {
+      leading = false
+      notify()
+    }
+  }
+}
+
+function heartbeat (sequence: number, changes: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    version: 1,
+    kind: 'heartbeat',
+    sequence,
+    instance: instanceId('i'),
+    incarnation: incarnationId('i/1'),
+    peerAddress: address('i:1'),
+    failureDomain: failureDomainId('a'),
+    draining: false,
+    leaderTerm: 0,
+    manifestVersion: 0,
+    directoryVersion: null,
+    held: [],
+    demand: [],
+    observations: [],
+    releasedTerms: [],
+    ...changes
+  }
+}
+
+const kinds = (messages: ControlToEntry[]) => messages.map((message) => message.kind === 'heartbeat-answer' ? `answer ${message.sequence}` : message.kind)
+
+t.test('a heartbeat is answered only after a round that began after it arrived', async (t) => {
+  const { coordinator, confirmations, take, wait } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1))
+  coordinator.handle('c', heartbeat(2))
+  wait(50)
+  t.equal(confirmations.length, 1)
+  t.same(kinds(take()).filter((kind) => kind.startsWith('answer')), [])
+  confirmations[0]?.(ok(7))
+  await settled()
+  t.same(kinds(take()).filter((kind) => kind.startsWith('answer')), ['answer 1'], 'the second heartbeat arrived during the round')
+  wait(50)
+  confirmations[1]?.(ok(7))
+  await settled()
+  t.same(kinds(take()).at(-1), 'answer 2')
+})
+
+const refusals: { name: string, result: Result<number, ControlLogFailure> }[] = [
+  { name: 'a round that a majority does not confirm', result: err({ kind: 'unknown' }) },
+  { name: 'a round that confirms another term', result: ok(8) }
+]
+for (const { name, result } of refusals) {
+  t.test(`${name} gives no lease and renews no share`, async (t) => {
+    const { coordinator, confirmations, renewed, take } = await startCoordinator()
+    coordinator.handle('c', heartbeat(1))
+    confirmations[0]?.(result)
+    await settled()
+    t.notOk(kinds(take()).includes('answer 1'))
+    t.same(renewed, [])
+  })
+}
+
+t.test('a deposed leader refers its instances to the new one at once and does not answer a round that ends later', async (t) => {
+  const { coordinator, confirmations, depose, take } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1))
+  take()
+  depose()
+  t.match(take(), [{ kind: 'not-leader', leaderAddress: 'other:1' }])
+  confirmations[0]?.(ok(7))
+  await settled()
+  t.same(take(), [])
+  coordinator.handle('c', heartbeat(2))
+  t.same(kinds(take()), ['not-leader'])
+})
+
+t.test('the manifest and the directory are sent before the answer that names them, and again when a later heartbeat lacks them', async (t) => {
+  const { coordinator, confirmations, take, wait } = await startCoordinator()
+  wait(2000)
+  coordinator.handle('c', heartbeat(1))
+  wait(50)
+  confirmations[0]?.(ok(7))
+  await settled()
+  t.same(kinds(take()), ['manifest', 'directory', 'answer 1'])
+  for (const [sequence, pauseMs, expected] of [[2, 100, ['answer 2']], [3, 400, ['manifest', 'directory', 'answer 3']]] as const) {
+    wait(pauseMs)
+    take()
+    coordinator.handle('c', heartbeat(sequence))
+    confirmations.at(-1)?.(ok(7))
+    await settled()
+    t.same(kinds(take()), expected, `heartbeat ${sequence}`)
+  }
+})
+
+t.test('a committed manifest is pushed at once, so that a withdrawn key stops within the target', async (t) => {
+  const { coordinator, commit, take } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1, { manifestVersion: 1 }))
+  take()
+  commit(2)
+  t.match(take().filter(({ kind }) => kind === 'manifest'), [{ kind: 'manifest', manifestVersion: 2 }])
+})
+
+t.test('an instance whose shares changed gets its last answer again after a new round, as no message asks for a heartbeat', async (t) => {
+  const { coordinator, confirmations, change, renewed, take, wait } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1))
+  confirmations[0]?.(ok(7))
+  await settled()
+  take()
+  change('i')
+  wait(50)
+  t.equal(confirmations.length, 2)
+  confirmations[1]?.(ok(7))
+  await settled()
+  t.ok(kinds(take()).includes('answer 1'))
+  t.same(renewed, ['i', 'i'])
+})
+
+t.test('status watches and control keep connections that are not shared out; slots and connections go to holders only', async (t) => {
+  const { coordinator, resources, wait } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1))
+  const announcement = { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('a'), departing: false, status: statusOf('d') }
+  coordinator.handle('c', { version: 1, kind: 'announcement', announcement })
+  for (let time = 0; time < 2000; time += 500) {
+    wait(500)
+    coordinator.handle('c', heartbeat(time))
+  }
+  t.same(Object.fromEntries(resources()), {
+    'rate:w': { amount: 100, burst: 20, whole: false, eligible: null },
+    'slots:d': { amount: 5, burst: 0, whole: true, eligible: ['i'] },
+    'connections:d': { amount: 25, burst: 0, whole: true, eligible: ['i'] }
+  })
+})
+
+t.test('the summary tells of a lost instance what it proved last, so that a report does not claim more', async (t) => {
+  const { coordinator, wait } = await startCoordinator()
+  coordinator.handle('c', heartbeat(1, { manifestVersion: 1 }))
+  wait(1600)
+  t.match(coordinator.summary().instances, [{ instance: 'i', lost: true, manifestVersion: 1, provenAgoMs: 1600 }])
+})
--- a/test/control/coordinator-schedules.test.ts
+++ b/test/control/coordinator-schedules.test.ts
@@ -6,7 +6,7 @@
 import type { World } from './fixtures/world.js'
 
 const SEED = 20261204
-const RUNS = 30
+const RUNS = 80
 /** Time in which everything must be in service again after the last fault; it covers a switchover that was given up several times. */
 const RECOVERY_MS = 25_000
 
