--- a/src/control/control-instance.ts
+++ b/src/control/control-instance.ts
@@ -1,3 +1,4 @@
+import { VError } from 'verror'
 import type { OperatorServer } from '../adapters/http/operator-server.js'
 import { listenForOperators } from '../adapters/http/operator-server.js'
 import { createDatabaseOrders } from '../adapters/postgres/database-orders.js'
@@ -11,6 +12,7 @@
 import type { ControlSettings } from '../settings/control-settings.js'
 import type { Clock } from '../types/clock.js'
 import type { ConsensusMessage } from '../types/consensus-message.js'
+import type { StorageFailure } from '../types/control-storage.js'
 import type { EntryToControl } from '../types/control-message.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { BurnReport } from '../types/operator-report.js'
@@ -32,6 +34,8 @@
   logEvent: LogEvent
   /** @returns time of day; default: the machine's clock */
   timeOfDay?: () => Date
+  /** The data folder can't be written any more; the instance takes no further part. Default: nothing. */
+  onFailure?: (failure: StorageFailure) => void
 }
 
 export interface ControlInstance {
@@ -67,16 +71,19 @@
     clusterSecret: settings.clusterSecret,
     tls
   })
-  const log = await startControlLog({
+  const startedLog = await startControlLog({
     ownAddress: settings.ownAddress,
     entryAddress: settings.ownAddress,
     memberAddresses: settings.members,
     dataFolder: settings.dataFolder,
-    send: transport.send,
+    transport,
     clock,
     random,
-    logEvent
+    logEvent,
+    onFailure: (failure) => { options.onFailure?.(failure) }
   })
+  if (startedLog.isErr()) throw new VError({ name: 'StorageFailure', info: { code: startedLog.error.code } }, `${startedLog.error.code}: ${startedLog.error.message}`)
+  const log = startedLog.value
   const channels = new Map<string, MessageChannel>()
   let channelCount = 0
   const coordinator = createCoordinator({
@@ -124,10 +131,7 @@
     requests: { ...service, page: async () => burnPage(await service.report('burn') as BurnReport) },
     logEvent
   })
-  const stopTicks = scheduleTicks(TICK_MS, () => {
-    log.tick()
-    coordinator.tick()
-  })
+  const stopTicks = scheduleTicks(TICK_MS, coordinator.tick)
   logEvent('started', { listen: server.port, operators: operatorServer.port })
 
   return {
@@ -138,7 +142,7 @@
       stopTicks()
       transport.close()
       await Promise.all([server.close(), operatorServer.close()])
-      await log.close()
+      await log.stop()
     },
     reloadTls: () => {
       server.reloadTls()
