limits: refuse early only after the leader had time to move share

A request was refused at once when an earlier, already met need had been answered, since the share in force was taken for final. The leader now also keeps its reserve of rate and burst apart from what needy instances take.

--- a/src/decisions/limits/rate-division.ts
+++ b/src/decisions/limits/rate-division.ts
@@ -6,17 +6,19 @@
   spare: boolean
 }
 
-/** Part of a rate that is kept from following demand, even when demand exceeds the rate. */
-const minimumSpareRatio = 0.02
+/** Parts of a rate and of a burst that the leader keeps; it passes their tokens to instances that run out. */
+export const rateReserveRatio = 0.05
+export const burstReserveRatio = 0.1
 
-/** Of what demand leaves over, the parts that follow demand as headroom, and that are spread evenly. The leader keeps the rest. */
-const headroomRatio = 0.5
-const evenRatio = 0.2
+/** Part of a rate that is spread evenly even when demand exceeds the rate. */
+const minimumSpareRatio = 0.01
+
+/** Of what demand leaves over, the part that follows demand, as headroom for its fluctuations. The rest is spread evenly. */
+const headroomRatio = 0.7
 
 /**
  * Divides a rate by demand. Of what demand leaves over, a part follows demand, as headroom for its fluctuations;
- * a part is spread evenly, for instances whose demand jumps from nothing. The rest stays with the leader,
- * who passes its tokens to instances that run out before share can be moved to them.
+ * the rest is spread evenly, so that an instance whose demand jumps from nothing can serve at once.
  * @param rate - requests per second to divide
  * @returns one part per member; the sum is at most `rate`
  */
@@ -24,16 +26,13 @@
   const spareMembers = members.filter((member) => member.spare).length
   const demand = members.reduce((sum, member) => sum + member.demand, 0)
   if (rate <= 0) return members.map(() => 0)
-  if (demand === 0) return members.map(({ spare }) => spare ? rate * (1 - reserveRatio) / spareMembers : 0)
+  if (demand === 0) return members.map(({ spare }) => spare ? rate / spareMembers : 0)
   const surplus = Math.max(rate - demand, rate * minimumSpareRatio)
-  const evenPart = spareMembers === 0 ? 0 : surplus * evenRatio / spareMembers
+  const evenPart = spareMembers === 0 ? 0 : surplus * (1 - headroomRatio) / spareMembers
   const ratio = (rate - surplus * (1 - headroomRatio)) / demand
   return members.map((member) => member.demand * ratio + (member.spare ? evenPart : 0))
 }
 
-/** Part of a burst, and of a rate without demand, that the leader keeps. */
-export const reserveRatio = 0.1
-
 /**
  * Divides a burst along with a rate. A bucket that holds less than one token never admits a request,
  * so instances get one token each before the rest follows the rate: those with the greatest demand first,
--- a/src/decisions/limits/resource-shares.ts
+++ b/src/decisions/limits/resource-shares.ts
@@ -4,7 +4,7 @@
 import type { ShareAmount } from '../../types/share.js'
 import type { ResourceSize } from '../../types/share-allocator.js'
 import type { DivisionMember } from './rate-division.js'
-import { divideBurst, divideRate, reserveRatio } from './rate-division.js'
+import { burstReserveRatio, divideBurst, divideRate, rateReserveRatio } from './rate-division.js'
 import type { ShareAccount, ShareClient } from './share-account.js'
 import { currentShare, issueGrant, mostHeld } from './share-account.js'
 import type { PlanMember } from './share-plan.js'
@@ -68,7 +68,7 @@
 function rateTargets (participants: readonly Participant[], rate: number, burst: number): Target[] {
   const members = participants.map(({ member }) => member)
   const parts = divideRate(rate, members)
-  const bursts = divideBurst(burst * (1 - reserveRatio), members, parts)
+  const bursts = divideBurst(burst, members, parts)
   return participants.map(({ member, current }, index) => {
     const amount = parts[index] as number
     const targetBurst = bursts[index] as number
@@ -127,13 +127,13 @@
   const whole = size?.whole ?? true
   const amount = Math.max(0, total.amount)
   const burst = Math.max(0, total.burst)
-  const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount, burst)
-  const rateReserve = whole ? 0 : Math.max(0, amount - targets.reduce((sum, target) => sum + target.amount, 0))
-  const burstReserve = whole ? 0 : Math.max(0, burst - targets.reduce((sum, target) => sum + target.burst, 0))
+  const rateReserve = whole ? 0 : amount * rateReserveRatio
+  const burstReserve = whole ? 0 : burst * burstReserveRatio
+  const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount - rateReserve, burst - burstReserve)
   const isRaisable = (account: ShareAccount) => reporter === null ? raiseAll : account.client === reporter
   const mayReduce = now - shares.reducedAt >= reductionGapMs
-  const amounts = planShares(planMembers(participants, targets, 'amount', isRaisable), amount, rateReserve, whole, mayReduce)
-  const bursts = planShares(planMembers(participants, targets, 'burst', isRaisable), burst, burstReserve, false, mayReduce)
+  const amounts = planShares(planMembers(participants, targets, 'amount', isRaisable), amount - rateReserve, whole, mayReduce)
+  const bursts = planShares(planMembers(participants, targets, 'burst', isRaisable), burst - burstReserve, false, mayReduce)
   shares.unsettled = amounts.unsettled || bursts.unsettled
   const overcommitted = amounts.overcommitted || bursts.overcommitted
   const isWanting = (index: number): boolean => {
--- a/src/decisions/limits/share-plan.ts
+++ b/src/decisions/limits/share-plan.ts
@@ -65,18 +65,17 @@
  * cause no messages. Raises come out of what nobody may hold; what donors give up follows once they acknowledged it.
  * @param total - what the members may hold together
  * @param mayReduce - whether instances may be asked now to give up share for a needy one
- * @param reserve - part of the total that is kept back unless a needy instance takes it
  */
-export function planShares (members: readonly PlanMember[], total: number, reserve: number, whole: boolean, mayReduce: boolean): SharePlan {
+export function planShares (members: readonly PlanMember[], total: number, whole: boolean, mayReduce: boolean): SharePlan {
   const next = members.map(({ current, target, givesBack }) => givesBack ? Math.min(current, target) : current)
   const needed = sumOf(members, (member, index) => member.needy ? Math.max(0, member.target - (next[index] as number)) : 0)
   const granted = next.reduce((sum, value) => sum + value, 0)
   const overcommitted = granted > total * (1 + 1e-9)
   const ignoredExcess = whole || overcommitted ? 0 : total * 0.002
-  if (mayReduce || overcommitted) reduceDonors(members, next, needed + granted - (total - reserve), ignoredExcess)
+  if (mayReduce || overcommitted) reduceDonors(members, next, needed + granted - total, ignoredExcess)
   const held = sumOf(members, (member, index) => Math.max(member.mostHeld, next[index] as number))
   const free = Math.max(0, total - held)
-  const left = raise(members, next, free, whole, (member) => member.needy) - reserve
+  const left = raise(members, next, free, whole, (member) => member.needy)
   const worthRaising = whole ? left >= 1 : left > total * 0.02
   if (worthRaising) raise(members, next, left, whole, () => true)
   const unfilled = members.some((member, index) => member.needy && (next[index] as number) < member.target * 0.99)
--- a/src/decisions/limits/share-requests.ts
+++ b/src/decisions/limits/share-requests.ts
@@ -29,7 +29,7 @@
 const notableGrowth = 1.25
 
 /** After each of this many asks, a demand that is still unmet is told again after `repeatAfterMs`. */
-const maxRepeats = 3
+const maxRepeats = 5
 const repeatAfterMs = 60
 
 /** @returns requests of an instance that has asked for nothing yet */
--- a/src/decisions/limits/workspace-limit.ts
+++ b/src/decisions/limits/workspace-limit.ts
@@ -33,10 +33,10 @@
 }
 
 /** Without an arrival that found no token for this long, the share is taken to be sufficient again. */
-const metAfterMs = 1000
+const metAfterMs = 300
 
-/** Time that the leader needs to move share between instances: two heartbeats each of the giving and the taking one. */
-const moveMs = 60
+/** Time in which the leader learns that demand has left other instances and moves their share here. */
+const moveMs = 250
 
 /** @returns the state of a workspace that has sent nothing */
 export function createWorkspaceLimit (workspace: WorkspaceId, demandWindowMs: number): WorkspaceLimit {
@@ -69,12 +69,17 @@
   limit.lastUnmetAt = now
 }
 
+/** Notes that a request found a token and left others. */
+export function noteMet (limit: WorkspaceLimit): void {
+  limit.lastUnmetAt = milliseconds(-Infinity)
+}
+
 /**
- * @returns whether the leader has answered a heartbeat that told of the unmet demand, with time left to move share;
+ * @returns whether the leader has answered a heartbeat that was sent long enough after demand became unmet;
  * the share in force is then what the workspace's rate allows this instance
  */
 export function isSettled (limit: WorkspaceLimit, share: LeasedShare | undefined): boolean {
-  if (share === undefined) return false
+  if (share === undefined || limit.lastUnmetAt === -Infinity) return false
   const renewedAt = share.validUntil - shareLeaseMs
   return renewedAt >= addTime(limit.unmetSince, moveMs)
 }
--- a/src/decisions/limits/workspace-limiter.ts
+++ b/src/decisions/limits/workspace-limiter.ts
@@ -8,7 +8,7 @@
 import { refuse } from '../../types/result-code.js'
 import type { DemandReport } from './demand-report.js'
 import type { WaitingRequest, WorkspaceLimit } from './workspace-limit.js'
-import { addWaiting, createWorkspaceLimit, demandOf, isSettled, noteUnmet, removeWaiting, waitForToken } from './workspace-limit.js'
+import { addWaiting, createWorkspaceLimit, demandOf, isSettled, noteMet, noteUnmet, removeWaiting, waitForToken } from './workspace-limit.js'
 import type { WorkspaceLimiterOptions } from './workspace-limiter-options.js'
 import { resolveWorkspaceLimiterOptions } from './workspace-limiter-options.js'
 
@@ -92,7 +92,10 @@
     const limit = limitOf(workspace)
     limit.arrivals.add(now)
     const admitted = admitWaiting(limit)
-    if (limit.waiting.size === 0 && buckets.take(limit.resource)) return [...admitted, { kind: 'admitted', requestId, waitedMs: 0 }, ...askIfRunningOut(limit)]
+    if (limit.waiting.size === 0 && buckets.take(limit.resource)) {
+      if (buckets.count(limit.resource) >= 1) noteMet(limit)
+      return [...admitted, { kind: 'admitted', requestId, waitedMs: 0 }, ...askIfRunningOut(limit)]
+    }
     noteUnmet(limit, now)
     const waitsUntil = milliseconds(Math.min(deadline, addTime(now, maxWaitMs)))
     const wait = waitForToken(limit, buckets.count(limit.resource), reachableRate(limit))
