limits: report a covered fluctuation as no need, and end a need when its queue drains

An instance whose tokens cover a fluctuation no longer makes the leader take share from others, which was most of the extra heartbeats. A need that was met no longer counts as the start of the next one, for which requests were refused without the wait.

--- a/src/decisions/limits/workspace-limit.ts
+++ b/src/decisions/limits/workspace-limit.ts
@@ -30,9 +30,10 @@
   /** Since when requests have found no token. */
   unmetSince: Milliseconds
   lastUnmetAt: Milliseconds
+  lastRefusedAt: Milliseconds
 }
 
-/** Without an arrival that found no token for this long, the share is taken to be sufficient again. */
+/** Without a refusal, or an arrival that found no token, for this long, the share is taken to be sufficient again. */
 const metAfterMs = 300
 
 /** Time in which the leader learns that demand has left other instances and moves their share here. */
@@ -47,7 +48,8 @@
     waiting: new Map(),
     expiries: createIndexedHeap(),
     unmetSince: milliseconds(0),
-    lastUnmetAt: milliseconds(-Infinity)
+    lastUnmetAt: milliseconds(-Infinity),
+    lastRefusedAt: milliseconds(-Infinity)
   }
 }
 
@@ -69,9 +71,9 @@
   limit.lastUnmetAt = now
 }
 
-/** Notes that a request found a token and left others. */
-export function noteMet (limit: WorkspaceLimit): void {
-  limit.lastUnmetAt = milliseconds(-Infinity)
+/** Notes that no request waits any more. While requests are refused, that says nothing about the demand. */
+export function noteMet (limit: WorkspaceLimit, now: Milliseconds): void {
+  if (now - limit.lastRefusedAt > metAfterMs) limit.lastUnmetAt = milliseconds(-Infinity)
 }
 
 /**
@@ -101,6 +103,12 @@
 /** A smaller burst is at a low level after any request; then only waiting requests show a need. */
 const minBurstForLevel = 4
 
+/**
+ * Part of its share that an instance reports at most while it has tokens: the burst covers the fluctuation,
+ * and the leader need not take share from others. Below the shortage at which the leader does so.
+ */
+const coveredRatio = 1.2
+
 /** Time in which the missing tokens of a bucket that runs out should be made up, in milliseconds. */
 const refillMs = 500
 
@@ -112,9 +120,10 @@
 export function demandOf (limit: WorkspaceLimit, share: LeasedShare | undefined, tokens: number, catchUpMs: number, now: Milliseconds): DemandReport {
   const { resource, waiting } = limit
   const arriving = limit.arrivals.rate(now)
-  const burst = share?.burst ?? 0
-  const runsOut = arriving > (share?.amount ?? 0) && burst >= minBurstForLevel && tokens < burst * lowTokenRatio
+  const { amount: rate, burst } = share ?? { amount: 0, burst: 0 }
+  const runsOut = arriving > rate && burst >= minBurstForLevel && tokens < burst * lowTokenRatio
+  const unmet = waiting.size > 0 || runsOut
+  if (!unmet) return { resource, amount: Math.min(arriving, rate * coveredRatio), unmet }
   const missing = runsOut ? burst / 2 - tokens : 0
-  const amount = Math.ceil(arriving + missing * 1000 / refillMs + waiting.size * 1000 / catchUpMs)
-  return { resource, amount, unmet: waiting.size > 0 || runsOut }
+  return { resource, amount: Math.ceil(arriving + missing * 1000 / refillMs + waiting.size * 1000 / catchUpMs), unmet }
 }
--- a/src/decisions/limits/workspace-limiter.ts
+++ b/src/decisions/limits/workspace-limiter.ts
@@ -71,6 +71,7 @@
   function refuseRequest (limit: WorkspaceLimit, requestId: RequestId, deadline: Milliseconds): LimiterEffect {
     const share = shareOf(limit)
     const wrongful = isWrongful(limit, share)
+    limit.lastRefusedAt = clock.now()
     const { workspace } = limit
     const refused = (refusal: Refusal): LimiterEffect => ({ kind: 'refused', requestId, workspace, refusal, wrongful })
     if (share === undefined) return refused(refuse('notFresh', 'not-run', 'The instance holds no share of the rate of the workspace.', noShareRetryMs))
@@ -93,7 +94,7 @@
     limit.arrivals.add(now)
     const admitted = admitWaiting(limit)
     if (limit.waiting.size === 0 && buckets.take(limit.resource)) {
-      if (buckets.count(limit.resource) >= 1) noteMet(limit)
+      noteMet(limit, now)
       return [...admitted, { kind: 'admitted', requestId, waitedMs: 0 }, ...askIfRunningOut(limit)]
     }
     noteUnmet(limit, now)
@@ -127,6 +128,7 @@
       if (!buckets.take(limit.resource)) break
       removeWaiting(limit, requestId)
       effects.push({ kind: 'admitted', requestId, waitedMs: clock.now() - arrivedAt })
+      if (limit.waiting.size === 0) noteMet(limit, clock.now())
     }
     return effects
   }
