measure: compare the share allocator and the fair queue with simpler policies

share-policies runs without sockets in simulated time and gives the baselines for docs/measurements.md: refusals at 90% of the rate with skewed, moving demand, and the share of the worst workspace beside one that sends 5 times its own. Requests for heartbeats by the leader are limited per instance.

--- /dev/null
+++ b/measure/share-policies.ts
@@ -0,0 +1,59 @@
+// Compares the share allocator with equal shares that never move, and the fair queue with two simpler ones.
+// Runs in simulated time, without sockets. Usage: node dist/measure/share-policies.js [--seed 1] [--seconds 60]
+import { Command } from 'commander'
+import type { QueuePolicy } from './queue-scenario.js'
+import { runQueueScenario } from './queue-scenario.js'
+import type { SkewCounts, SkewResult } from './share-scenario.js'
+import { eightWorkspaces, runSkewScenario } from './share-scenario.js'
+
+const instances = 9
+const load = 0.9
+const moveTimesMs = [2000, 10_000]
+const excess = 5
+const queuePolicies: QueuePolicy[] = ['fair', 'first-in-first-out', 'round-robin']
+
+interface Arguments {
+  seed: string
+  seconds: string
+}
+
+const ratio = (part: number, whole: number): string => (whole === 0 ? 0 : part / whole).toFixed(5)
+
+const sumOf = (counts: readonly SkewCounts[], value: (count: SkewCounts) => number): number => counts.reduce((sum, count) => sum + value(count), 0)
+
+function printShares (name: string, moveEveryMs: number, { counts, heartbeatsPerSecond }: SkewResult): void {
+  const requests = sumOf(counts, (count) => count.requests)
+  const worst = Math.max(...counts.map(({ refused, requests }) => refused / requests))
+  const byWorkspace = counts.map(({ workspace, refused, requests }) => `${workspace.rate}/s ${ratio(refused, requests)}`).join(', ')
+  console.log(`shares=${name} move_ms=${moveEveryMs} requests=${requests}` +
+    ` refused=${ratio(sumOf(counts, (count) => count.refused), requests)} worst_workspace_refused=${worst.toFixed(5)}` +
+    ` refused_by_one_bucket=${ratio(sumOf(counts, (count) => count.refusedByOneBucket), requests)}` +
+    ` counted_wrongful=${ratio(sumOf(counts, (count) => count.countedWrongful), requests)}` +
+    ` waited=${ratio(sumOf(counts, (count) => count.waited), requests)}` +
+    ` heartbeats_per_second=${heartbeatsPerSecond.toFixed(1)}`)
+  console.log(`  refused by rate of the workspace: ${byWorkspace}`)
+}
+
+function main (): void {
+  const command = new Command('share-policies')
+    .option('--seed <number>', 'seed of all random choices', '1')
+    .option('--seconds <number>', 'simulated seconds per run', '60')
+    .parse()
+  const given = command.opts<Arguments>()
+  const seed = Number(given.seed)
+  const durationMs = Number(given.seconds) * 1000
+  if (!Number.isInteger(seed) || !(durationMs > 0)) command.error('seed must be a whole number and seconds a positive one')
+  console.log(`seed=${seed} seconds=${durationMs / 1000} instances=${instances} load=${load}`)
+  for (const moveEveryMs of moveTimesMs) {
+    for (const staticParts of [null, instances]) {
+      const result = runSkewScenario({ seed, instances, workspaces: eightWorkspaces, load, moveEveryMs, durationMs, staticParts })
+      printShares(staticParts === null ? 'allocator' : 'equal', moveEveryMs, result)
+    }
+  }
+  for (const policy of queuePolicies) {
+    const share = runQueueScenario({ seed, policy, excess, durationMs })
+    console.log(`queue=${policy} excess=${excess} worst_workspace_share=${share.toFixed(3)}`)
+  }
+}
+
+main()
--- a/src/decisions/limits/share-account.ts
+++ b/src/decisions/limits/share-account.ts
@@ -15,6 +15,8 @@
   superseded: boolean
   reportedAt: Milliseconds
   demand: Map<ResourceId, number>
+  /** Requests for a heartbeat that were sent lately, as the time that they take at the permitted rate. */
+  askedUntil: Milliseconds
   accounts: Map<ResourceId, ShareAccount>
 }
 
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -14,6 +14,10 @@
 /** Grants of a later leader have greater numbers: the term stands above this many bits of a counter. */
 const grantsPerTerm = 2 ** 32
 
+/** Requests for a heartbeat to one instance, on average and at once; they bound the control traffic while demand moves. */
+const asksPerSecond = 10
+const maxSavedAsks = 20
+
 /** While a need is unfilled, the division is repeated without a report, since instances may have become unresponsive. */
 const replanAfterMs = 250
 
@@ -95,7 +99,7 @@
 
   function newClient (report: ShareReport): ShareClient {
     const { instance, incarnation } = report
-    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), accounts: new Map() }
+    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), askedUntil: clock.now(), accounts: new Map() }
   }
 
   function accountOf (client: ShareClient, shares: ResourceShares): ShareAccount {
@@ -192,14 +196,14 @@
   }
 
   function takeChanged (): InstanceId[] {
+    const now = clock.now()
     const changed: InstanceId[] = []
     for (const client of clients.values()) {
-      let urgent = false
-      for (const account of client.accounts.values()) {
-        urgent ||= account.urgent
-        account.urgent = false
-      }
-      if (urgent) changed.push(client.instance)
+      const mayAsk = client.askedUntil - now <= maxSavedAsks * 1000 / asksPerSecond
+      if (!mayAsk || ![...client.accounts.values()].some((account) => account.urgent)) continue
+      for (const account of client.accounts.values()) account.urgent = false
+      client.askedUntil = addTime(milliseconds(Math.max(client.askedUntil, now)), 1000 / asksPerSecond)
+      changed.push(client.instance)
     }
     return changed
   }
