--- a/src/decisions/limits/workspace-limiter.ts
+++ b/src/decisions/limits/workspace-limiter.ts
@@ -8,7 +8,7 @@
 import { refuse } from '../../types/result-code.js'
 import type { DemandReport } from './demand-report.js'
 import type { WaitingRequest, WorkspaceLimit } from './workspace-limit.js'
-import { addWaiting, createWorkspaceLimit, demandOf, isSettled, noteUnmet, removeWaiting, waitForToken } from './workspace-limit.js'
+import { addWaiting, createWorkspaceLimit, demandOf, isSettled, noteMet, noteUnmet, removeWaiting, waitForToken } from './workspace-limit.js'
 import type { WorkspaceLimiterOptions } from './workspace-limiter-options.js'
 import { resolveWorkspaceLimiterOptions } from './workspace-limiter-options.js'
 
@@ -71,6 +71,7 @@
   function refuseRequest (limit: WorkspaceLimit, requestId: RequestId, deadline: Milliseconds): LimiterEffect {
     const share = shareOf(limit)
     const wrongful = isWrongful(limit, share)
+    limit.lastRefusedAt = clock.now()
     const { workspace } = limit
     const refused = (refusal: Refusal): LimiterEffect => ({ kind: 'refused', requestId, workspace, refusal, wrongful })
     if (share === undefined) return refused(refuse('notFresh', 'not-run', 'The instance holds no share of the rate of the workspace.', noShareRetryMs))
@@ -92,7 +93,10 @@
     const limit = limitOf(workspace)
     limit.arrivals.add(now)
     const admitted = admitWaiting(limit)
-    if (limit.waiting.size === 0 && buckets.take(limit.resource)) return [...admitted, { kind: 'admitted', requestId, waitedMs: 0 }, ...askIfRunningOut(limit)]
+    if (limit.waiting.size === 0 && buckets.take(limit.resource)) {
+      noteMet(limit, now)
+      return [...admitted, { kind: 'admitted', requestId, waitedMs: 0 }, ...askIfRunningOut(limit)]
+    }
     noteUnmet(limit, now)
     const waitsUntil = milliseconds(Math.min(deadline, addTime(now, maxWaitMs)))
     const wait = waitForToken(limit, buckets.count(limit.resource), reachableRate(limit))
@@ -124,6 +128,7 @@
       if (!buckets.take(limit.resource)) break
       removeWaiting(limit, requestId)
       effects.push({ kind: 'admitted', requestId, waitedMs: clock.now() - arrivedAt })
+      if (limit.waiting.size === 0) noteMet(limit, clock.now())
     }
     return effects
   }
