execution: queue lanes, majority of the assumed group size, slot for open transactions

The fair queue offers at most 32 entries of a workspace, so its writes that wait for a new primary would have hidden its reads. Reads that replicas serve now have a queue of their own, and the two take turns at the primary's slots.

A holder that knew one database of a group took it for a majority; it now counts with groupMajority like the failover. A former holder's open transactions keep one slot, reported by usedSlots, so that they can finish. The waiting-time estimate uses the slots at hand instead of one.

--- a/src/decisions/execution/create-fair-request-queue.ts
+++ b/src/decisions/execution/create-fair-request-queue.ts
@@ -12,7 +12,7 @@
     cancel: (id) => queue.cancel(requestId(id)) !== null,
     charge: queue.charge,
     expire: () => queue.takeExpired().map((entry) => entry.item),
-    waitingTimeMs: (workspace) => queue.estimateWait(workspace, 1),
+    waitingTimeMs: (workspace) => queue.estimateWait(workspace, options.slots()),
     size: () => queue.size
   }
 }
--- a/src/decisions/execution/durability-wait.ts
+++ b/src/decisions/execution/durability-wait.ts
@@ -2,6 +2,7 @@
 import type { DatabaseId, IncarnationId } from '../../types/ids.js'
 import { isAtOrPast, type LogPosition } from '../../types/log-position.js'
 import type { Outcome, Success } from '../../types/outcome.js'
+import { groupMajority } from '../failover/group-size.js'
 import type { GroupView } from './group-view.js'
 import { notDurable } from './operation-outcome.js'
 import type { RequestRecord } from './request-table.js'
@@ -46,7 +47,7 @@
   function isHeldByMajority (write: PendingWrite): boolean {
     const databases = view.databases()
     const holding = databases.filter(({ database }) => holds(database, write))
-    return holding.length * 2 > databases.length
+    return holding.length >= groupMajority(databases.length)
   }
 
   /** @returns why the write can't be acknowledged any more, or null */
--- a/src/decisions/execution/group-executor.ts
+++ b/src/decisions/execution/group-executor.ts
@@ -16,6 +16,7 @@
 import { createOperationRunner } from './operation-runner.js'
 import { createPlacer } from './placement.js'
 import { createQueueDispatch } from './queue-dispatch.js'
+import { createQueueLanes } from './queue-lanes.js'
 import { createRequestTable } from './request-table.js'
 import { releasedTermsOf } from './released-terms.js'
 import { createDemandEstimate } from './share-demand.js'
@@ -38,7 +39,7 @@
   releasedTerms: () => ReleasedTerm[]
   /** @returns the number of requests and transactions that have not ended */
   activeCount: () => number
-  /** @returns slots of a database in use; a reduced share is acknowledged only once the use fits into it */
+  /** @returns slots of a database in use, one for its open transactions included; a reduced share is acknowledged only once the use fits into it */
   usedSlots: (database: DatabaseId) => number
   /** @returns connections to a database that are open or being opened */
   usedConnections: (database: DatabaseId) => number
@@ -49,17 +50,18 @@
   const view = createGroupView(options)
   const keys = createKeyCheck(view, group)
   const requests = createRequestTable(clock, emit)
-  const slots = createSlotAccounting(view)
+  const transactions = createTransactionTable({ instance, clock, randomName: options.randomName })
+  const slots = createSlotAccounting(view, transactions.countAt)
   return {
     options,
     view,
     keys,
     requests,
     slots,
-    queue: options.createQueue({ clock, weightOf: keys.weightOf }),
+    queue: createQueueLanes(options.createQueue, view, { clock, weightOf: keys.weightOf }),
     runner: createOperationRunner({ clock, slots, longestOperationMs: options.longestOperationMs, emit }),
     pool: createConnectionPool({ group, clock, emit }),
-    transactions: createTransactionTable({ instance, clock, randomName: options.randomName }),
+    transactions,
     durability: createDurabilityWait({ clock, view, end: requests.end })
   }
 }
@@ -154,7 +156,7 @@
     demand: estimate.demand,
     releasedTerms: () => releasedTermsOf(parts),
     activeCount: () => requests.size() + transactions.size(),
-    usedSlots: parts.slots.running,
+    usedSlots: parts.slots.used,
     usedConnections: pool.count
   }
 }
--- a/src/decisions/execution/group-view.ts
+++ b/src/decisions/execution/group-view.ts
@@ -24,6 +24,8 @@
   slots: (id: DatabaseId) => number
   /** @returns connections to a database that this instance may hold now */
   connections: (id: DatabaseId) => number
+  /** @returns whether the lease of the slots of a database is valid, whatever its amount */
+  hasSlotShare: (id: DatabaseId) => boolean
   /** @returns whether the lease of the connections to a database is valid, whatever its amount */
   hasConnectionShare: (id: DatabaseId) => boolean
   /** @returns the primary, if it takes new writes now under the term in force */
@@ -116,6 +118,7 @@
     hasOtherHolder,
     slots: (id) => leased('slots', id) ?? 0,
     connections: (id) => leased('connections', id) ?? 0,
+    hasSlotShare: (id) => leased('slots', id) !== null,
     hasConnectionShare: (id) => leased('connections', id) !== null,
     writePrimary
   }
--- a/src/decisions/execution/placement.ts
+++ b/src/decisions/execution/placement.ts
@@ -4,6 +4,7 @@
 import { refuse } from '../../types/result-code.js'
 import { pickByFreeSlots, qualifyingDatabases, type ReadCandidate } from '../sessions/read-routing.js'
 import type { ExecutorParts } from './executor-parts.js'
+import { isRead } from './queue-lanes.js'
 import type { RequestRecord } from './request-table.js'
 
 /** Where a queued request runs. */
@@ -29,11 +30,6 @@
   refusalAtDeadline: (record: RequestRecord) => Refusal
 }
 
-export function isRead (record: RequestRecord): boolean {
-  const operation = record.request.operation
-  return operation.kind === 'statement' && operation.access === 'read'
-}
-
 export function createPlacer (parts: ExecutorParts): Placer {
   const { options, view, slots, pool, transactions, runner } = parts
   const missingCounts = new Map<string, number>()
@@ -94,7 +90,7 @@
   }
 
   function transactionCount (database: DatabaseId): number {
-    const open = transactions.all().filter((transaction) => transaction.connection.database === database).length
+    const open = transactions.countAt(database)
     const beginning = runner.all().filter((running) => running.kind === 'begin' && running.connection.database === database).length
     return open + beginning
   }
@@ -116,7 +112,7 @@
   }
 
   function refusalAtDeadline (record: RequestRecord): Refusal {
-    const retryAfterMs = Math.ceil(parts.queue.waitingTimeMs(record.request.workspace))
+    const retryAfterMs = parts.queue.retryAfterMs(record)
     if (isRead(record)) {
       if (qualifying(record).length > 0) return refuse('deadlineExceeded', 'not-run', 'no slot became free before the deadline', retryAfterMs)
       return refuse('noFreshReplica', 'not-run', 'no database qualified for the read before the deadline', retryAfterMs)
--- a/src/decisions/execution/queue-dispatch.ts
+++ b/src/decisions/execution/queue-dispatch.ts
@@ -3,7 +3,7 @@
 import type { Refusal } from '../../types/outcome.js'
 import type { Execute } from '../../types/peer-message.js'
 import { refuse } from '../../types/result-code.js'
-import { EXPECTED_SLOT_MS, type ExecutorParts } from './executor-parts.js'
+import type { ExecutorParts } from './executor-parts.js'
 import type { Placement, Placer } from './placement.js'
 import type { RequestRecord } from './request-table.js'
 
@@ -54,11 +54,8 @@
   }
 
   function enqueue (record: RequestRecord): void {
-    const { workspace } = record.request
-    const entry = { id: record.key, workspace, deadline: record.deadline, expectedMs: EXPECTED_SLOT_MS, item: record }
-    if (queue.enqueue(entry)) return
-    const retryAfterMs = Math.ceil(queue.waitingTimeMs(workspace))
-    requests.end(record, refuse('queueFull', 'not-run', 'the queue of the group is full', retryAfterMs))
+    if (record.deadline <= options.clock.now()) requests.end(record, refuse('deadlineExceeded', 'not-run', 'the deadline passed before the request arrived'))
+    else if (!queue.enqueue(record)) requests.end(record, refuse('queueFull', 'not-run', 'the queue of the group is full', queue.retryAfterMs(record)))
   }
 
   function refuseQueued (matches: (record: RequestRecord) => boolean, refusal: (record: RequestRecord) => Refusal): void {
--- a/src/decisions/execution/request-queue.ts
+++ b/src/decisions/execution/request-queue.ts
@@ -37,6 +37,8 @@
   clock: Clock
   /** Weight of a workspace by the manifest in force. */
   weightOf: (workspace: WorkspaceId) => number
+  /** Slots that serve the queue at this moment. */
+  slots: () => number
 }
 
 export type CreateRequestQueue = <Item>(options: RequestQueueOptions) => RequestQueue<Item>
--- a/src/decisions/execution/share-demand.ts
+++ b/src/decisions/execution/share-demand.ts
@@ -2,7 +2,7 @@
 import { resourceId, type DatabaseId } from '../../types/ids.js'
 import type { ShareDemand } from '../../types/share.js'
 import type { ExecutorParts } from './executor-parts.js'
-import { isRead } from './placement.js'
+import { laneOf } from './queue-lanes.js'
 
 /** Estimates how many slots and connections of each database the executor could use. */
 export interface DemandEstimate {
@@ -28,7 +28,7 @@
 
   function waitingByDatabase (): Map<DatabaseId, number> {
     const waiting = requests.all().filter((record) => record.stage === 'queued' || record.stage === 'waiting-for-slot')
-    const forReplicas = waiting.filter((record) => isRead(record) && !record.request.primaryOnly).length
+    const forReplicas = waiting.filter((record) => laneOf(record) === 'replica').length
     const primary = view.group()?.primary
     const replicas = view.databases().filter(({ database, weight }) => database !== primary && weight > 0)
     const perReplica = Math.ceil(forReplicas / Math.max(1, replicas.length))
@@ -55,14 +55,10 @@
     }
   }
 
-  function openTransactions (database: DatabaseId): number {
-    return transactions.all().filter((transaction) => transaction.connection.database === database).length
-  }
-
   function demandOf (database: DatabaseId, weight: number): ShareDemand[] {
-    const open = openTransactions(database)
+    const open = transactions.countAt(database)
     const getsWork = view.isHolder() && weight > 0
-    const wantedSlots = getsWork ? Math.max(LEAST_SLOTS, Math.ceil(decayedPeak(database))) : Math.max(slots.running(database), Math.min(1, open))
+    const wantedSlots = getsWork ? Math.max(LEAST_SLOTS, Math.ceil(decayedPeak(database))) : slots.used(database)
     // Both modes may be in use at a database, and a transaction keeps its connection between statements.
     const wantedConnections = getsWork ? wantedSlots + open + SPARE_CONNECTIONS : pool.count(database)
     return [
--- a/src/decisions/execution/transaction-operations.ts
+++ b/src/decisions/execution/transaction-operations.ts
@@ -35,7 +35,7 @@
   function chargeHeldTime (transaction: Transaction): void {
     const held = clock.now() - transaction.chargedUntil
     transaction.chargedUntil = clock.now()
-    if (held > 0) queue.charge(transaction.workspace, held)
+    if (held > 0) queue.charge('primary', transaction.workspace, held)
   }
 
   function abort (transaction: Transaction, message: string): void {
@@ -113,7 +113,7 @@
     const waiting = transactions.all().filter((transaction) => transaction.current?.stage === 'waiting-for-slot')
     waiting.sort((left, right) => left.lastUsedAt - right.lastUsedAt)
     for (const transaction of waiting) {
-      if (transaction.current === null || slots.free(transaction.connection.database) === 0) continue
+      if (transaction.current === null || !slots.isFreeForTransaction(transaction.connection.database)) continue
       runCurrent(transaction, transaction.current)
     }
   }
--- a/src/decisions/execution/transaction-table.ts
+++ b/src/decisions/execution/transaction-table.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { RequesterName } from '../../types/executor-message.js'
-import { transactionId, type ConnectionId, type InstanceId, type TransactionId, type WorkspaceId } from '../../types/ids.js'
+import { transactionId, type ConnectionId, type DatabaseId, type InstanceId, type TransactionId, type WorkspaceId } from '../../types/ids.js'
 import type { PooledConnection } from '../connections/pooled-connection.js'
 import type { RequestRecord } from './request-table.js'
 
@@ -32,6 +32,7 @@
   wasAborted: (id: TransactionId, workspace: WorkspaceId) => boolean
   onConnection: (connection: ConnectionId) => Transaction | null
   all: () => Transaction[]
+  countAt: (database: DatabaseId) => number
   size: () => number
 }
 
@@ -85,6 +86,7 @@
     wasAborted: (id, workspace) => aborted.get(id) === workspace,
     onConnection: (connection) => [...open.values()].find((transaction) => transaction.connection.id === connection) ?? null,
     all: () => [...open.values()],
+    countAt: (database) => [...open.values()].filter((transaction) => transaction.connection.database === database).length,
     size: () => open.size
   }
 }
--- a/test/decisions/execution/executor-harness.ts
+++ b/test/decisions/execution/executor-harness.ts
@@ -107,6 +107,11 @@
     shares.write(next)
   }
 
+  /** Ends the leases of all slots and leaves those of the connections. */
+  function expireSlots (): void {
+    shares.write(new Map([...shares.read()].filter(([resource]) => !resource.startsWith('slots:'))))
+  }
+
   function observe (database: DatabaseId, change: Partial<DatabaseStatus> = {}, observedAt = now): void {
     const next = new Map<DatabaseId, ObservedDatabase>(observed.read())
     const role = database === group.primary ? 'primary' as const : 'replica' as const
@@ -232,6 +237,7 @@
     setGroup,
     setDatabase,
     setShare,
+    expireSlots,
     observe,
     observeAll,
     setNow: (value: number) => { now = milliseconds(value) },
--- a/test/decisions/execution/fake-group.ts
+++ b/test/decisions/execution/fake-group.ts
@@ -80,6 +80,7 @@
     if (chosen === undefined) throw new Error('no majority')
     chosen.role = 'primary'
     chosen.term = term
+    chosen.log.push({ term, statements: [] })
     return term
   }
 
--- a/test/decisions/execution/group-executor.property.test.ts
+++ b/test/decisions/execution/group-executor.property.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import t from 'tap'
-import { createExecutorSimulation, type Step, type Tally } from './executor-simulation.js'
+import { createExecutorSimulation, type Tally } from './executor-simulation.js'
+import type { Step } from './executor-step.js'
 
 const SEED = 20261204
 const RUNS = 400
--- a/test/decisions/execution/group-executor.test.ts
+++ b/test/decisions/execution/group-executor.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { createFairRequestQueue } from '../../../src/decisions/execution/create-fair-request-queue.js'
 import type { CreateRequestQueue, RequestQueueOptions } from '../../../src/decisions/execution/request-queue.js'
 import type { OperationFailed } from '../../../src/types/database-operation.js'
 import type { Operation } from '../../../src/types/peer-message.js'
@@ -129,3 +130,16 @@
   harness.finish(harness.lastRun().connection)
   t.same(charges, [99])
 })
+
+t.test('reads run while more writes of the same workspace wait for a primary than the queue offers at a time', async (t) => {
+  const harness = createExecutorHarness({ createQueue: createFairRequestQueue })
+  harness.setGroup({ phase: 'switching' })
+  for (let count = 0; count < 100; count++) harness.execute(WRITE)
+  harness.execute(READ)
+  t.equal(harness.lastRun().operation.kind, 'read')
+})
+
+t.test('a request that arrives without time left is not run', async (t) => {
+  const harness = createExecutorHarness()
+  t.same(refusal(harness, harness.execute(WRITE, { remainingMs: 0 })), { name: 'deadlineExceeded', outcome: 'not-run' })
+})
--- a/test/decisions/execution/write-acknowledgement.test.ts
+++ b/test/decisions/execution/write-acknowledgement.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { milliseconds } from '../../../src/types/clock.js'
-import { incarnationId, requestId } from '../../../src/types/ids.js'
+import { groupId, incarnationId, requestId } from '../../../src/types/ids.js'
 import { createExecutorHarness, PRIMARY, REPLICA, SECOND, WRITE, AT, refusal, type ExecutorHarness } from './executor-harness.js'
 
 t.test('a write is acknowledged only when a majority holds its position', async (t) => {
@@ -63,3 +63,13 @@
   harness.setGroup({ phase: 'switching' })
   t.equal(harness.executor.releasedTerms()[0]?.term, 1)
 })
+
+t.test('a holder that knows one database of a group does not take it for a majority', async (t) => {
+  const harness = createExecutorHarness()
+  for (const database of [REPLICA, SECOND]) harness.setDatabase(database, { group: groupId('not-announced-yet') })
+  const id = harness.execute(WRITE)
+  harness.finish(harness.lastRun().connection, { position: AT })
+  harness.observe(PRIMARY, { position: AT })
+  harness.advance(1000)
+  t.same(refusal(harness, id), { name: 'notDurable', outcome: 'unknown' })
+})
