--- a/test/adapters/disk/control-storage.test.ts
+++ b/test/adapters/disk/control-storage.test.ts
@@ -37,10 +37,10 @@
   return restored
 }
 
-async function readAll (folder: string): Promise<Map<string, string>> {
-  const files = new Map<string, string>()
-  for (const name of await readdir(folder)) files.set(name, (await readFile(join(folder, name))).toString('hex'))
-  return files
+/** @returns the names and contents of all files; a path that can't be read stands for its error */
+async function readAll (folder: string): Promise<string[]> {
+  const names = await readdir(folder).catch((error: NodeJS.ErrnoException) => [String(error.code)])
+  return await Promise.all(names.map(async (name) => name + await readFile(join(folder, name), 'hex').catch(() => 'unreadable')))
 }
 
 t.test('a restart returns the votes and entries that were synced, with replaced entries gone', async (t) => {
@@ -52,32 +52,23 @@
   await storage.close()
 })
 
-t.test('a snapshot replaces the log and keeps the vote, and later entries follow it', async (t) => {
+t.test('a snapshot replaces the log, and a crash before the shortened log is in place loses no entry after it', async (t) => {
   const folder = await newFolder(t)
   await fill(folder)
+  const longLog = await readFile(join(folder, 'control.log'))
   const { storage, restored } = await openFolder(folder)
-  const results = await Promise.all([
+  await Promise.all([
     storage.persist([{ kind: 'snapshot', snapshot, vote, entries: restored.entries.slice(2) }]),
     storage.persist([{ kind: 'entries', entries: [entry(5, 3)] }])
   ])
-  t.ok(results.every((result) => result.isOk()))
   await storage.close()
   const again = await openFolder(folder)
   t.same(again.restored, { ...restored, snapshot, entries: [entry(3, 2), entry(4, 2), entry(5, 3)] })
   await again.storage.close()
-})
-
-t.test('a crash between the snapshot and the shortened log loses no entry after the snapshot', async (t) => {
-  const folder = await newFolder(t)
-  await fill(folder)
-  const longLog = await readFile(join(folder, 'control.log'))
-  const { storage, restored } = await openFolder(folder)
-  await storage.persist([{ kind: 'snapshot', snapshot, vote, entries: restored.entries.slice(2) }])
-  await storage.close()
   await writeFile(join(folder, 'control.log'), longLog)
-  const again = await openFolder(folder)
-  t.same(again.restored, { ...restored, snapshot, entries: [entry(3, 2), entry(4, 2)] })
-  await again.storage.close()
+  const afterCrash = await openFolder(folder)
+  t.same(afterCrash.restored, { ...restored, snapshot, entries: [entry(3, 2), entry(4, 2)] })
+  await afterCrash.storage.close()
 })
 
 t.test('a torn last record is cut off at every length, and the log takes new records after it', async (t) => {
@@ -159,20 +150,14 @@
   }
 ]
 
-for (const { guards, damage } of damages) {
-  t.test(`damage refuses to start and changes nothing: ${guards}`, async (t) => {
-    const folder = await newFolder(t)
-    await fill(folder)
-    await damage(folder)
-    const before = await readAll(folder)
-    const opened = await openControlStorage(folder)
-    t.equal(opened._unsafeUnwrapErr().code, resultCodes.logDamaged.code)
-    t.same(await readAll(folder), before)
-  })
-}
-
 const unusable: DamageCase[] = [
-  { guards: 'its path is a file', damage: (folder) => writeFile(folder, 'file') },
+  {
+    guards: 'its path is a file',
+    damage: async (folder) => {
+      await rm(folder, { recursive: true })
+      await writeFile(folder, 'file')
+    }
+  },
   { guards: 'its parent is missing', damage: (folder) => rm(join(folder, '..'), { recursive: true }) },
   {
     guards: 'its log can not be read',
@@ -184,10 +169,16 @@
   }
 ]
 
-for (const { guards, damage } of unusable) {
-  t.test(`an unusable folder is reported as such: ${guards}`, async (t) => {
-    const folder = await newFolder(t)
-    await damage(folder)
-    t.equal((await openControlStorage(folder))._unsafeUnwrapErr().code, resultCodes.dataFolderUnusable.code)
-  })
+for (const [table, name] of [[damages, 'logDamaged'], [unusable, 'dataFolderUnusable']] as const) {
+  for (const { guards, damage } of table) {
+    t.test(`${name} is reported and nothing is changed: ${guards}`, async (t) => {
+      const folder = await newFolder(t)
+      await fill(folder)
+      await damage(folder)
+      const before = await readAll(folder)
+      const opened = await openControlStorage(folder)
+      t.equal(opened._unsafeUnwrapErr().code, resultCodes[name].code)
+      t.same(await readAll(folder), before)
+    })
+  }
 }
--- a/test/decisions/consensus/consensus-property.test.ts
+++ b/test/decisions/consensus/consensus-property.test.ts
@@ -10,7 +10,7 @@
 const position = fc.nat({ max: 4 })
 const stepArbitrary = fc.oneof(
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('run' as const), durationMs: fc.constantFrom(10, 50, 200, 800, 2000) }) },
-  { weight: 6, arbitrary: fc.record({ kind: fc.constant('commit' as const), position, content: fc.constantFrom('a', 'b', 'c') }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('commit' as const), position, content: fc.constantFrom('a', 'b', 'c'), pauseMs: fc.constantFrom(0, 30, 100) }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('confirm' as const), position }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('crash' as const), position, keptShare: fc.constantFrom(0, 0.5, 0.99) }) },
   { weight: 5, arbitrary: fc.record({ kind: fc.constant('restart' as const), position }) },
@@ -35,7 +35,7 @@
       const base = cluster.checks.newestAccepted()
       cluster.propose(cluster.leader() ?? memberAt(step.position), manifestCommand(base, `${step.content} on ${base}`))
       cluster.propose(memberAt(step.position), manifestCommand(base, `other on ${base}`))
-      return
+      return cluster.run(step.pauseMs)
     }
     case 'confirm': {
       cluster.confirm(memberAt(step.position))
--- /dev/null
+++ b/test/decisions/consensus/replication.test.ts
@@ -0,0 +1,91 @@
+import t from 'tap'
+import type { LogEntry } from '../../../src/types/consensus-entry.js'
+import { clusterId } from '../../../src/types/consensus-entry.js'
+import type { Append } from '../../../src/types/consensus-message.js'
+import { memberId } from '../../../src/types/ids.js'
+import { manifestCommand } from '../../fixtures/manifest-command.js'
+import { appendAnswer, createSingleMember, headerFrom, logOfTerms, sentOf } from '../../fixtures/single-member.js'
+
+function append (term: number, fields: Partial<Append>): Append {
+  return { ...headerFrom(2, term), kind: 'append', entryAddress: headerFrom(2, term).fromAddress, round: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, ...fields }
+}
+const entry = (index: number, term: number): LogEntry => ({ index, term, payload: { kind: 'leadership' } })
+
+// The own log of every case has the terms 1, 1, 2, 2 and nothing committed; the own term is 3.
+const appendCases: { guards: string, message: Append, answer: object, terms: number[], commitIndex: number }[] = [
+  { guards: 'an old leader learns the new term and changes nothing', message: append(2, { previousIndex: 4, previousTerm: 2, entries: [entry(5, 2)] }), answer: { term: 3, accepted: false }, terms: [1, 1, 2, 2], commitIndex: 0 },
+  { guards: 'a gap is refused with the end of the log', message: append(3, { previousIndex: 9, previousTerm: 3 }), answer: { accepted: false, nextIndex: 5 }, terms: [1, 1, 2, 2], commitIndex: 0 },
+  { guards: 'a conflict is refused with the start of its term', message: append(3, { previousIndex: 4, previousTerm: 3 }), answer: { accepted: false, nextIndex: 3 }, terms: [1, 1, 2, 2], commitIndex: 0 },
+  { guards: 'conflicting entries are replaced', message: append(3, { previousIndex: 2, previousTerm: 1, entries: [entry(3, 3)] }), answer: { accepted: true, matchIndex: 3 }, terms: [1, 1, 3], commitIndex: 0 },
+  { guards: 'a late append of held entries does not cut off what follows them', message: append(3, { previousIndex: 1, previousTerm: 1, entries: [entry(2, 1), entry(3, 2)] }), answer: { accepted: true, matchIndex: 3 }, terms: [1, 1, 2, 2], commitIndex: 0 },
+  { guards: 'entries that were not compared with the leader are not committed', message: append(3, { previousIndex: 2, previousTerm: 1, commitIndex: 4 }), answer: { accepted: true, matchIndex: 2 }, terms: [1, 1, 2, 2], commitIndex: 2 }
+]
+
+for (const { guards, message, answer, terms, commitIndex } of appendCases) {
+  t.test(`append: ${guards}`, async (t) => {
+    const member = createSingleMember({ entries: logOfTerms([1, 2, 2]), vote: { term: 3, votedFor: null } })
+    t.match(sentOf(member.receiveAndSync(message), 'append-answer'), [answer])
+    const { log } = member.view()
+    t.same(log.entriesFrom(1).map((held) => held.term), terms)
+    t.equal(member.view().commitIndex, commitIndex)
+  })
+}
+
+t.test('an append is answered only after its entries were synced', async (t) => {
+  const member = createSingleMember({ entries: logOfTerms([]) })
+  t.same(sentOf(member.receive(append(1, { previousIndex: 1, previousTerm: 1, entries: [entry(2, 1)] })), 'append-answer'), [])
+  t.match(sentOf(member.sync(), 'append-answer'), [{ accepted: true, matchIndex: 2 }])
+})
+
+const strangers: { guards: string, message: Append }[] = [
+  { guards: 'another member id, as the folder at this address was emptied', message: append(9, { to: memberId('former member') }) },
+  { guards: 'another cluster', message: append(9, { cluster: clusterId('other cluster') }) }
+]
+for (const { guards, message } of strangers) {
+  t.test(`a message to ${guards} is dropped`, async (t) => {
+    const member = createSingleMember({ entries: logOfTerms([]) })
+    t.same(member.receiveAndSync(message), [])
+    t.equal(member.view().term, 1)
+  })
+}
+
+t.test('entries of an earlier term are not committed by counting, as a later leader may still replace them', async (t) => {
+  const member = createSingleMember({ entries: logOfTerms([2, 2]), vote: { term: 2, votedFor: null } })
+  const { term } = member.lead()
+  member.receive(appendAnswer(2, term, { matchIndex: 3 }))
+  t.equal(member.view().commitIndex, 0)
+  member.sync()
+  t.equal(member.view().commitIndex, 0)
+  member.receive(appendAnswer(2, term, { matchIndex: 4 }))
+  t.equal(member.view().commitIndex, 4)
+})
+
+t.test('the leader counts its own entry only after its sync', async (t) => {
+  const member = createSingleMember({ entries: logOfTerms([]) })
+  const { term } = member.lead()
+  member.receive(appendAnswer(2, term, { matchIndex: 2 }))
+  t.equal(member.view().commitIndex, 0, 'the first entry of the term is not synced yet')
+  member.sync()
+  t.equal(member.view().commitIndex, 2)
+})
+
+t.test('a leader that hears no majority for one election timeout steps down, and its open calls end truthfully', async (t) => {
+  const member = createSingleMember({ entries: logOfTerms([]) })
+  member.lead()
+  member.handle({ kind: 'propose', proposal: 1, command: manifestCommand(0, 'a') })
+  member.handle({ kind: 'confirm', confirmation: 2 })
+  t.equal(member.view().role, 'leader')
+  member.wait(599)
+  t.equal(member.view().role, 'leader')
+  const effects = member.wait(1)
+  t.equal(member.view().role, 'follower')
+  t.match(effects.filter((effect) => effect.kind === 'proposal-result'), [{ proposal: 1, result: { error: { kind: 'unknown' } } }])
+  t.match(effects.filter((effect) => effect.kind === 'confirmation-result'), [{ confirmation: 2, result: { error: { kind: 'not-leader' } } }])
+})
+
+t.test('an answer of a higher term ends the leadership', async (t) => {
+  const member = createSingleMember({ entries: logOfTerms([]) })
+  const { term } = member.lead()
+  member.receiveAndSync(appendAnswer(3, term + 5, { accepted: false }))
+  t.match(member.view(), { role: 'follower', term: term + 5, leaderAddress: null })
+})
