--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { access, constants, mkdir, open } from 'node:fs/promises'
 import type { FileHandle } from 'node:fs/promises'
+import { dirname } from 'node:path'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { ControlStorage, DurableRecord, RestoredMember, StorageFailure } from '../../types/control-storage.js'
@@ -9,7 +10,7 @@
 import { resultCodes } from '../../types/result-code.js'
 import { dataFolderPaths } from './data-folder.js'
 import type { DataFolderPaths } from './data-folder.js'
-import { readFileIfPresent, replaceFile } from './durable-file.js'
+import { readFileIfPresent, replaceFile, syncFolder } from './durable-file.js'
 import { encodeFrame } from './log-frame.js'
 import type { LogFileHeader, ReadMember } from './restore-member.js'
 import { LogDamage, readMember } from './restore-member.js'
@@ -50,6 +51,7 @@
 async function createFolder (path: string): Promise<void> {
   try {
     await mkdir(path, { mode: 0o700 })
+    await syncFolder(dirname(path))
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== 'EEXIST') throw error
   }
--- a/src/adapters/disk/durable-file.ts
+++ b/src/adapters/disk/durable-file.ts
@@ -1,7 +1,10 @@
 import { open, readFile, rename } from 'node:fs/promises'
 import { dirname } from 'node:path'
 
-/** Syncs a folder, which makes created and renamed files in it durable. */
+/**
+ * Syncs a folder, which makes created and renamed files in it durable.
+ * @throws the error of the file system
+ */
 export async function syncFolder (path: string): Promise<void> {
   const folder = await open(path, 'r')
   try {
@@ -11,7 +14,11 @@
   }
 }
 
-/** Replaces a file so that after a crash either the old or the new content is there. */
+/**
+ * Replaces a file so that after a crash either the old or the new content is there.
+ * @param path - a file beside it with the ending .tmp is overwritten
+ * @throws the error of the file system
+ */
 export async function replaceFile (path: string, content: Buffer): Promise<void> {
   const temporary = `${path}.tmp`
   const file = await open(temporary, 'w', 0o600)
@@ -25,7 +32,10 @@
   await syncFolder(dirname(path))
 }
 
-/** @returns the content, or null when there is no such file */
+/**
+ * @returns the content, or null when there is no such file
+ * @throws any other error of the file system
+ */
 export async function readFileIfPresent (path: string): Promise<Buffer | null> {
   try {
     return await readFile(path)
--- a/src/adapters/disk/log-frame.ts
+++ b/src/adapters/disk/log-frame.ts
@@ -7,7 +7,10 @@
 
 const packr = new Packr({ useRecords: false })
 
-/** @returns a log record: length, CRC-32 and msgpackr data */
+/**
+ * @param value - plain data
+ * @returns a log record: length, CRC-32 and msgpackr data
+ */
 export function encodeFrame (value: unknown): Buffer {
   const data = packr.pack(value)
   const frame = Buffer.alloc(HEADER_BYTES + data.length)
@@ -34,6 +37,7 @@
 }
 
 export interface DecodedFrames {
+  /** Data of all valid frames. */
   values: unknown[]
   /** Bytes of all valid frames. */
   validBytes: number
--- a/src/control/control-log-runner.ts
+++ b/src/control/control-log-runner.ts
@@ -26,7 +26,8 @@
 const TICK_MS = 25
 
 /**
- * Opens the data folder and starts the member.
+ * Opens the data folder and starts the member. On a first start it forms a cluster with the other members once all
+ * of them answer and are empty, and otherwise joins the cluster that it meets.
  * @returns settingsInvalid, dataFolderUnusable or logDamaged when the member can't start
  */
 export async function startControlLog (options: ControlLogOptions): Promise<Result<ControlLogRunner, StorageFailure>> {
--- a/src/decisions/consensus/cluster-formation.ts
+++ b/src/decisions/consensus/cluster-formation.ts
@@ -8,8 +8,11 @@
 
 /** Looks for other members while no leader is heard, and forms the cluster on the first start. */
 export interface ClusterFormation {
+  /** Sends a probe to all configured addresses from time to time while no leader is heard. */
   tick: () => void
+  /** Tells the asking member whether the own folder is empty. */
   handleProbe: (message: Probe) => void
+  /** Forms a cluster once all configured addresses have answered the newest probe and all are empty. */
   handleProbeAnswer: (message: ProbeAnswer) => void
 }
 
--- a/src/decisions/consensus/committed-entries.ts
+++ b/src/decisions/consensus/committed-entries.ts
@@ -8,7 +8,9 @@
 
 /**
  * Applies all entries up to `index`, which a majority holds, and replaces the log by a snapshot when it is long enough.
- * @param onApplied - called for each entry
+ * @param index - ignored if it is not past the commit index
+ * @param onApplied - called for each entry, in order
+ * @throws Error when an entry is not in the log
  */
 export function advanceCommit (core: MemberCore, effects: EffectQueue, index: number, onApplied: AppliedListener = () => {}): void {
   if (index <= core.commitIndex) return
@@ -43,7 +45,10 @@
   })
 }
 
-/** Puts a snapshot in place of the entries that it covers, in the log and on disk. */
+/**
+ * Puts a snapshot in place of the entries that it covers, in the log and on disk.
+ * @param snapshot - of committed entries
+ */
 export function installSnapshot (core: MemberCore, effects: EffectQueue, snapshot: LogSnapshot): void {
   core.log.install(snapshot)
   const entries = core.log.entriesFrom(snapshot.index + 1)
--- a/src/decisions/consensus/consensus-controller.ts
+++ b/src/decisions/consensus/consensus-controller.ts
@@ -20,19 +20,25 @@
 export interface ConsensusView {
   role: ConsensusRole
   term: number
+  /** Where entry instances and operators reach the leader; null while none is known. */
   leaderAddress: Address | null
+  /** Last entry that is committed and applied here. */
   commitIndex: number
+  /** State after the entry `commitIndex`. */
   state: ReplicatedState
   log: ReplicatedLog
 }
 
 export interface ConsensusController extends Controller<ConsensusInput, ConsensusEffect> {
+  /** @returns the present values; they change with the next call */
   view: () => ConsensusView
 }
 
 /**
  * Creates the controller of one member of the replicated log. It does no I/O.
+ * @param options - varying behaviour, and times in milliseconds
  * @param restored - durable state of the member
+ * @returns a controller whose caller carries out the effects of each call in order
  */
 export function createConsensusController (options: ConsensusOptions, restored: RestoredMember): ConsensusController {
   const core = createMemberCore(resolveConsensusOptions(options), restored)
--- a/src/decisions/consensus/election.ts
+++ b/src/decisions/consensus/election.ts
@@ -6,12 +6,17 @@
 
 /** Asks for votes when no leader is heard, and gives votes. */
 export interface Election {
+  /** Asks for pre-votes once the election timeout has passed. */
   tick: () => void
-  /** Asks for votes at once. */
+  /** Asks for pre-votes at once; without effect for a leader or a member without a vote. */
   stand: () => void
+  /** Tells whether the own vote could be had; changes nothing. */
   handlePreVote: (message: PreVote) => void
+  /** Begins the election when a majority would give its votes. */
   handlePreVoteAnswer: (message: PreVoteAnswer) => void
+  /** Gives at most one vote a term, and answers after the sync. A member also votes if its own log doesn't name it a voter. */
   handleVote: (message: Vote) => void
+  /** Counts the vote of a voter. */
   handleVoteAnswer: (message: VoteAnswer) => void
 }
 
--- a/src/decisions/consensus/follower.ts
+++ b/src/decisions/consensus/follower.ts
@@ -6,10 +6,16 @@
 
 /** Takes entries and snapshots of the leader. */
 export interface Follower {
+  /**
+   * Compares the entry before the new ones with the own log, stores what is missing and answers after the sync.
+   * @throws Error when the leader contradicts a committed entry
+   */
   handleAppend: (message: Append) => void
+  /** Replaces the log and the state, unless they are as new as the snapshot, and answers after the sync. */
   handleSnapshot: (message: SnapshotTransfer) => void
 }
 
+/** @returns the part of a member that follows leaders; the caller has taken over the term of each message */
 export function createFollower (core: MemberCore, effects: EffectQueue): Follower {
   function answer (message: Append | SnapshotTransfer, result: Pick<AppendAnswer, 'accepted' | 'matchIndex' | 'nextIndex'>): void {
     const reply: AppendAnswer = { ...answerHeader(core, message), kind: 'append-answer', round: message.round, ...result }
--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -14,9 +14,19 @@
 
 /** One leadership, from the election to the step-down. */
 export interface Leader {
+  /** Sends heartbeats, changes the membership and steps down without a majority. */
   tick: () => void
+  /**
+   * Appends a command.
+   * @param proposal - number under which the result is emitted
+   */
   propose: (proposal: number, command: Command) => void
+  /**
+   * Confirms the leadership by a heartbeat round that begins after this call.
+   * @param confirmation - number under which the result is emitted
+   */
   confirm: (confirmation: number) => void
+  /** Takes the progress of a member; answers of other terms and of unknown members are ignored. */
   handleAppendAnswer: (message: AppendAnswer) => void
   /** Takes the request of a member to join, if it is not in the membership. */
   handleProbe: (message: Probe) => void
@@ -25,7 +35,7 @@
 }
 
 /**
- * Starts a leadership of the core's current term.
+ * Starts a leadership of the core's current term: appends its first entry and sends the first heartbeats.
  * @param stepDown - called when no majority was heard for one election timeout
  */
 export function createLeader (core: MemberCore, effects: EffectQueue, stepDown: () => void): Leader {
--- a/src/decisions/consensus/leadership-confirmation.ts
+++ b/src/decisions/consensus/leadership-confirmation.ts
@@ -1,5 +1,6 @@
 /** Confirmations that wait for a heartbeat round begun after them. One round serves all that came before it. */
 export interface LeadershipConfirmation {
+  /** Adds a confirmation, which waits for the next round. */
   add: (confirmation: number) => void
   /** Assigns the round that just began to all confirmations without one. */
   roundBegan: (round: number) => void
@@ -11,6 +12,7 @@
   takeAll: () => number[]
 }
 
+/** @returns the confirmations of one leadership; none yet */
 export function createLeadershipConfirmation (): LeadershipConfirmation {
   let waiting: { confirmation: number, round: number | null }[] = []
 
--- a/src/decisions/consensus/member-core.ts
+++ b/src/decisions/consensus/member-core.ts
@@ -19,7 +19,10 @@
   entryAddress: Address
 }
 
-/** State of a member that the parts of the consensus controller share. */
+/**
+ * State of a member that the parts of the consensus controller share.
+ * `term` and `votedFor` are changed in memory first and synced before any message that depends on them is sent.
+ */
 export interface MemberCore {
   readonly options: ResolvedConsensusOptions
   readonly self: MemberId
@@ -30,9 +33,11 @@
   leader: KnownLeader | null
   /** When a message of a leader arrived last; null: never. */
   leaderHeardAt: Milliseconds | null
+  /** When the member asks for votes unless it hears a leader before. */
   electionDue: Milliseconds
   /** Every entry up to here is committed and applied. */
   commitIndex: number
+  /** State after the entry `commitIndex`. */
   state: ReplicatedState
 }
 
@@ -40,7 +45,9 @@
 export interface EffectQueue {
   emit: (effect: ConsensusEffect) => void
   send: (to: Address, message: ConsensusMessage) => void
+  /** Emits a numbered log event. */
   log: (event: LogEventName, details?: LogDetails) => void
+  /** Emits a persist effect with the next sequence number. */
   persist: (...records: DurableRecord[]) => void
   /** Runs the task as soon as everything persisted so far is synced; at once if it is. */
   afterSync: (task: () => void) => void
@@ -50,6 +57,10 @@
   take: () => ConsensusEffect[]
 }
 
+/**
+ * @param restored - durable state of the member
+ * @returns a follower that knows no leader; its committed state is that of the snapshot
+ */
 export function createMemberCore (options: ResolvedConsensusOptions, restored: RestoredMember): MemberCore {
   const log = createReplicatedLog(restored.snapshot, restored.entries)
   // A crash between a received snapshot and its vote record leaves a vote of an earlier term, which binds no longer.
@@ -71,6 +82,7 @@
   return core
 }
 
+/** @returns an empty queue; nothing is unsynced */
 export function createEffectQueue (): EffectQueue {
   let effects: ConsensusEffect[] = []
   let waiting: { sequence: number, task: () => void }[] = []
@@ -112,26 +124,35 @@
   core.electionDue = addTime(clock.now(), timeoutMs)
 }
 
+/** @returns the term and vote to be synced */
 export function termVote (core: MemberCore): TermVote {
   return { term: core.term, votedFor: core.votedFor }
 }
 
+/** @returns the end of the own log, for the comparison with a candidate's */
 export function logEnd (core: MemberCore): LogEnd {
   return { lastIndex: core.log.lastIndex(), lastTerm: core.log.lastTerm() }
 }
 
+/** @returns the voters of the newest membership, committed or not */
 export function voters (core: MemberCore): ControlMember[] {
   return core.log.members().filter((member) => member.role === 'voter')
 }
 
-/** @returns whether `agrees` holds for more than half of the voters */
+/**
+ * @param agrees - tells for a voter whether it agrees
+ * @returns whether more than half of the voters agree; false without voters
+ */
 export function isMajority (core: MemberCore, agrees: (member: MemberId) => boolean): boolean {
   const all = voters(core)
   const agreeing = all.filter((voter) => agrees(voter.member))
   return agreeing.length * 2 > all.length
 }
 
-/** @returns the header of an answer to `message` */
+/**
+ * @param message - its cluster is repeated, since a member with an empty folder has none of its own
+ * @returns the header of an answer
+ */
 export function answerHeader (core: MemberCore, message: MemberMessageHeader): MemberMessageHeader {
   return {
     version: 1,
@@ -144,6 +165,7 @@
 }
 
 /**
+ * @param to - member that the message is meant for
  * @returns the header of a message that this member begins
  * @throws Error when the member belongs to no cluster
  */
--- a/src/decisions/consensus/membership.ts
+++ b/src/decisions/consensus/membership.ts
@@ -7,6 +7,7 @@
   address: Address
 }
 
+/** A change of one member. Memberships that differ by one voter have majorities that overlap. */
 export type MembershipChange =
   | { kind: 'add-learner', member: ControlMember }
   | { kind: 'add-voter', member: ControlMember }
--- a/src/decisions/consensus/replicated-log.ts
+++ b/src/decisions/consensus/replicated-log.ts
@@ -7,13 +7,18 @@
   /** @returns index of the last entry that the snapshot replaces; 0 without a snapshot */
   snapshotIndex: () => number
   lastIndex: () => number
+  /** @returns term of the last entry or, without entries, of the snapshot; 0 for an empty log */
   lastTerm: () => number
   /** @returns the term of an entry, 0 for index 0, or null when the entry isn't held */
   termAt: (index: number) => number | null
+  /** @returns undefined when the entry isn't held or is under the snapshot */
   entryAt: (index: number) => LogEntry | undefined
   /** @returns up to `limit` entries, starting with `index`, which must be after the snapshot */
   entriesFrom: (index: number, limit?: number) => LogEntry[]
-  /** Adds entries; the first one replaces the entry with its index and everything after it. */
+  /**
+   * Adds entries; the first one replaces the entry with its index and everything after it.
+   * @throws RangeError when the first entry doesn't continue the log
+   */
   append: (entries: readonly LogEntry[]) => void
   /** Replaces everything up to the snapshot's index; later entries stay if they continue the snapshot. */
   install: (snapshot: LogSnapshot) => void
@@ -39,7 +44,10 @@
   members: ControlMember[]
 }
 
-/** @param restoredEntries - entries after the snapshot, without gaps */
+/**
+ * @param restoredSnapshot - null: none was taken yet
+ * @param restoredEntries - entries after the snapshot, without gaps
+ */
 export function createReplicatedLog (restoredSnapshot: LogSnapshot | null, restoredEntries: readonly LogEntry[]): ReplicatedLog {
   let snapshot = restoredSnapshot
   let entries: LogEntry[] = []
--- a/src/decisions/consensus/replication-progress.ts
+++ b/src/decisions/consensus/replication-progress.ts
@@ -20,7 +20,11 @@
 export interface ReplicationProgress {
   /** @returns the progress of a member, which starts with the next entry of the leader's log */
   of: (member: MemberId) => MemberProgress
-  /** Takes an answer of the leader's own term. */
+  /**
+   * Takes an answer of the leader's own term.
+   * @param now - time of its arrival
+   * @param lastIndex - last entry of the leader's log
+   */
   take: (answer: AppendAnswer, now: Milliseconds, lastIndex: number) => void
 }
 
@@ -54,7 +58,10 @@
   return { of, take }
 }
 
-/** @returns the largest value that more than half of the values reach; 0 for no values */
+/**
+ * @param values - one for each voter
+ * @returns the largest value that more than half of the values reach; 0 for no values
+ */
 export function majorityValue (values: readonly number[]): number {
   const descending = [...values].sort((left, right) => right - left)
   return descending[Math.floor(descending.length / 2)] ?? 0
--- a/src/types/consensus-entry.ts
+++ b/src/types/consensus-entry.ts
@@ -10,6 +10,7 @@
 /** `learner`: receives the log and counts for no majority. */
 export type MemberRole = 'voter' | 'learner'
 
+/** A member of the control cluster. */
 export interface ControlMember {
   member: MemberId
   /** Where the member receives messages of other members. */
@@ -17,6 +18,7 @@
   role: MemberRole
 }
 
+/** What an entry carries. */
 export type EntryPayload =
   | { kind: 'command', command: Command }
   /** In force from the moment it is in the log, before it is committed. New members are added at the end. */
@@ -24,6 +26,7 @@
   /** First entry of each leader. Its commit also commits every earlier entry. */
   | { kind: 'leadership' }
 
+/** One entry of the replicated log. Never changed once it is made. */
 export interface LogEntry {
   /** Position in the log; the first entry has 1. */
   index: number
--- a/src/types/consensus-message.ts
+++ b/src/types/consensus-message.ts
@@ -26,16 +26,20 @@
   nextTerm: number
 }
 
+/** Binds nobody; the answering member may still vote for another. */
 export interface PreVoteAnswer extends MemberMessageHeader {
   kind: 'pre-vote-answer'
+  /** Repeated from the question. */
   nextTerm: number
   granted: boolean
 }
 
+/** Asks for the vote in the sender's term, which its own vote was synced in. */
 export interface Vote extends MemberMessageHeader, LogEnd {
   kind: 'vote'
 }
 
+/** Sent after the vote was synced. */
 export interface VoteAnswer extends MemberMessageHeader {
   kind: 'vote-answer'
   granted: boolean
@@ -48,9 +52,11 @@
   entryAddress: Address
   /** Number of the leader's heartbeat round; echoed in the answer. */
   round: number
+  /** Entry before the first one sent; the receiver must hold it with the same term. */
   previousIndex: number
   previousTerm: number
   entries: LogEntry[]
+  /** Last entry that the leader knows to be committed. */
   commitIndex: number
 }
 
@@ -65,6 +71,7 @@
   nextIndex: number
 }
 
+/** Sent to a member that lacks entries which the leader's snapshot has replaced. */
 export interface SnapshotTransfer extends MemberMessageHeader {
   kind: 'snapshot'
   entryAddress: Address
@@ -84,6 +91,7 @@
   cluster: ClusterId | null
 }
 
+/** Tells the member that sent a probe whether the own folder is empty. */
 export interface ProbeAnswer {
   version: 1
   kind: 'probe-answer'
@@ -95,6 +103,7 @@
   cluster: ClusterId | null
 }
 
+/** Messages between members that belong, or are about to belong, to one cluster. */
 export type ClusterMessage = PreVote | PreVoteAnswer | Vote | VoteAnswer | Append | AppendAnswer | SnapshotTransfer
 export type ConsensusMessage = ClusterMessage | Probe | ProbeAnswer
 
--- a/src/types/control-storage.ts
+++ b/src/types/control-storage.ts
@@ -20,11 +20,13 @@
   entries: LogEntry[]
 }
 
+/** Why a data folder can't be used. */
 export interface StorageFailure {
   code: ResultCode
   message: string
 }
 
+/** Durable state of a running member. */
 export interface ControlStorage {
   /**
    * Writes records in the order of the calls; resolves after they were synced. Calls made during a sync share the next one.
