--- a/src/decisions/limits/resource-shares.ts
+++ b/src/decisions/limits/resource-shares.ts
@@ -58,6 +58,9 @@
 /** Shortest time between reductions for needy instances, so that fluctuating reports don't each cause messages. */
 const reductionGapMs = 10
 
+/** The same for one instance: each of its acknowledgements is a heartbeat, whose answer could reduce its share again. */
+const repeatedReductionGapMs = 50
+
 function participantOf (account: ShareAccount, size: ResourceSize | null, resource: ResourceId): Participant {
   const eligible = size !== null && (size.eligible === null || size.eligible.includes(account.client.instance))
   const demand = eligible ? account.client.demand.get(resource) ?? 0 : 0
@@ -87,7 +90,7 @@
   })
 }
 
-function planMembers (participants: readonly Participant[], targets: readonly Target[], quantity: keyof ShareAmount, isRaisable: (account: ShareAccount) => boolean): PlanMember[] {
+function planMembers (participants: readonly Participant[], targets: readonly Target[], quantity: keyof ShareAmount, isAnswered: (account: ShareAccount) => boolean, mayReduce: (account: ShareAccount) => boolean): PlanMember[] {
   return participants.map(({ account, eligible, current, most }, index) => {
     const target = targets[index] as Target
     return {
@@ -96,7 +99,8 @@
       target: target[quantity],
       needy: target.needy,
       givesBack: !eligible || account.client.draining,
-      raisable: isRaisable(account)
+      answered: isAnswered(account),
+      mayReduce: mayReduce(account)
     }
   })
 }
@@ -130,10 +134,12 @@
   const rateReserve = whole ? 0 : amount * rateReserveRatio
   const burstReserve = whole ? 0 : burst * burstReserveRatio
   const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount - rateReserve, burst - burstReserve)
-  const isRaisable = (account: ShareAccount) => reporter === null ? raiseAll : account.client === reporter
-  const mayReduce = now - shares.reducedAt >= reductionGapMs
-  const amounts = planShares(planMembers(participants, targets, 'amount', isRaisable), amount - rateReserve, whole, mayReduce)
-  const bursts = planShares(planMembers(participants, targets, 'burst', isRaisable), burst - burstReserve, false, mayReduce)
+  const isAnswered = (account: ShareAccount) => reporter === null ? raiseAll : account.client === reporter
+  const mayReduce = (account: ShareAccount) => account.client === reporter
+    ? now - account.reducedAt >= repeatedReductionGapMs
+    : now - shares.reducedAt >= reductionGapMs
+  const amounts = planShares(planMembers(participants, targets, 'amount', isAnswered, mayReduce), amount - rateReserve, whole)
+  const bursts = planShares(planMembers(participants, targets, 'burst', isAnswered, mayReduce), burst - burstReserve, false)
   shares.unsettled = amounts.unsettled || bursts.unsettled
   const overcommitted = amounts.overcommitted || bursts.overcommitted
   const isWanting = (index: number): boolean => {
@@ -155,9 +161,10 @@
     if (share.amount === current.amount && share.burst === current.burst && passed === 0) return
     issueGrant(account, share, passed, nextGrant(), now)
     const givesUp = share.amount < current.amount || share.burst < current.burst
-    if (givesUp) shares.reducedAt = now
+    if (givesUp) account.reducedAt = now
     // The reporter gets its share with the answer that follows.
     if (account.client === reporter) return
+    if (givesUp) shares.reducedAt = now
     account.urgent ||= givesUp && (wanting || overcommitted || !eligible)
   })
   recountReserve(shares, now)
--- a/src/decisions/limits/share-account.ts
+++ b/src/decisions/limits/share-account.ts
@@ -38,6 +38,8 @@
   urgent: boolean
   /** When the instance was asked last because its share can be raised. */
   askedAt: Milliseconds
+  /** When its share was reduced last. */
+  reducedAt: Milliseconds
 }
 
 const nothing: ShareAmount = { amount: 0, burst: 0 }
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -105,7 +105,7 @@
   function accountOf (client: ShareClient, shares: ResourceShares): ShareAccount {
     const known = client.accounts.get(shares.resource)
     if (known !== undefined) return known
-    const account: ShareAccount = { client, grants: [], urgent: false, askedAt: milliseconds(-Infinity) }
+    const account: ShareAccount = { client, grants: [], urgent: false, askedAt: milliseconds(-Infinity), reducedAt: milliseconds(-Infinity) }
     client.accounts.set(shares.resource, account)
     shares.accounts.add(account)
     return account
--- a/src/decisions/limits/share-plan.ts
+++ b/src/decisions/limits/share-plan.ts
@@ -9,8 +9,10 @@
   needy: boolean
   /** Whether the instance gives up what is above its target even if nobody needs it. */
   givesBack: boolean
-  /** Whether a raise can be sent now. What is kept for one that can't would serve nobody. */
-  raisable: boolean
+  /** Whether an answer is due to the instance. A raise for another one would be kept from use until its next heartbeat. */
+  answered: boolean
+  /** Whether the instance may be asked now to give up share for a needy one. */
+  mayReduce: boolean
 }
 
 function sumOf (members: readonly PlanMember[], value: (member: PlanMember, index: number) => number): number {
@@ -18,9 +20,9 @@
 }
 
 /** Takes from the greatest excesses first, so that few instances have to acknowledge. */
-function reduceDonors (members: readonly PlanMember[], next: number[], shortage: number, ignoredExcess: number): void {
+function reduceDonors (members: readonly PlanMember[], next: number[], shortage: number, ignoredExcess: number, isDonor: (member: PlanMember) => boolean): void {
   const donors = members
-    .map(({ target, needy }, index) => ({ index, excess: needy ? 0 : (next[index] as number) - target }))
+    .map((member, index) => ({ index, excess: isDonor(member) ? (next[index] as number) - member.target : 0 }))
     .filter(({ excess }) => excess > ignoredExcess)
     .sort((left, right) => right.excess - left.excess)
   let missing = shortage
@@ -44,7 +46,7 @@
     const cost = costs[index] as number
     const paid = whole ? Math.min(cost, Math.floor(left)) : cost * ratio
     left -= paid
-    if ((members[index] as PlanMember).raisable) next[index] = (next[index] as number) + (wants[index] as number) - cost + paid
+    if ((members[index] as PlanMember).answered) next[index] = (next[index] as number) + (wants[index] as number) - cost + paid
   }
   return Math.max(0, left)
 }
@@ -64,15 +66,15 @@
  * Plans the next shares of one quantity. Shares only move for a needy instance, so that fluctuations of demand
  * cause no messages. Raises come out of what nobody may hold; what donors give up follows once they acknowledged it.
  * @param total - what the members may hold together
- * @param mayReduce - whether instances may be asked now to give up share for a needy one
  */
-export function planShares (members: readonly PlanMember[], total: number, whole: boolean, mayReduce: boolean): SharePlan {
+export function planShares (members: readonly PlanMember[], total: number, whole: boolean): SharePlan {
   const next = members.map(({ current, target, givesBack }) => givesBack ? Math.min(current, target) : current)
   const needed = sumOf(members, (member, index) => member.needy ? Math.max(0, member.target - (next[index] as number)) : 0)
   const granted = next.reduce((sum, value) => sum + value, 0)
   const overcommitted = granted > total * (1 + 1e-9)
   const ignoredExcess = whole || overcommitted ? 0 : total * 0.002
-  if (mayReduce || overcommitted) reduceDonors(members, next, needed + granted - total, ignoredExcess)
+  const isDonor = ({ needy, mayReduce }: PlanMember) => !needy && (mayReduce || overcommitted)
+  reduceDonors(members, next, needed + granted - total, ignoredExcess, isDonor)
   const held = sumOf(members, (member, index) => Math.max(member.mostHeld, next[index] as number))
   const free = Math.max(0, total - held)
   const left = raise(members, next, free, whole, (member) => member.needy)
--- /dev/null
+++ b/test/decisions/limits/share-service.test.ts
@@ -0,0 +1,28 @@
+import t from 'tap'
+import { runQueueScenario } from '../../../measure/queue-scenario.js'
+import { runSkewScenario } from '../../../measure/share-scenario.js'
+import { workspaceId } from '../../../src/types/ids.js'
+
+const seeds = [1, 2, 3]
+const maxRefusedShare = 0.001
+const minWorkspaceShare = 0.95
+
+t.test('at 90% of the rate, skewed and moving demand over 9 instances is refused at most 0.001', async (t) => {
+  const cases = [{ rate: 200, burst: 100, moveEveryMs: 2000 }, { rate: 500, burst: 250, moveEveryMs: 2000 }, { rate: 1000, burst: 500, moveEveryMs: 10_000 }]
+  for (const { rate, burst, moveEveryMs } of cases) {
+    for (const seed of seeds) {
+      const workspaces = [{ id: workspaceId('moving'), rate, burst }]
+      const { counts } = runSkewScenario({ seed, instances: 9, workspaces, load: 0.9, moveEveryMs, durationMs: 20_000, staticParts: null })
+      const { refused, requests } = counts[0] as NonNullable<typeof counts[0]>
+      t.ok(requests > rate * 10, `${requests} requests at ${rate}/s`)
+      t.ok(refused / requests <= maxRefusedShare, `${refused} of ${requests} refused at ${rate}/s, seed ${seed}`)
+    }
+  }
+})
+
+t.test('a workspace with 5 times its rate of heavier requests leaves others their fair share of the slots', async (t) => {
+  for (const seed of seeds) {
+    const share = runQueueScenario({ seed, policy: 'fair', excess: 5, durationMs: 20_000 })
+    t.ok(share >= minWorkspaceShare, `the worst workspace got ${share.toFixed(3)} of its share, seed ${seed}`)
+  }
+})
