--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -17,6 +17,7 @@
 import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
 import type { Announcement } from '../types/database-status.js'
+import type { GroupId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { ShareAllocator } from '../types/share-allocator.js'
 import { summarize } from './coordinator-summary.js'
@@ -25,9 +26,18 @@
 import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
 import { createFailoverEffects } from './failover-effects.js'
 import { createLeadership } from './leadership.js'
+import { logFailureDomains } from './log-failure-domains.js'
 import { createLostInstances } from './lost-instances.js'
 import { shareResources } from './share-resources.js'
 
+/**
+ * Interval in which the directory is built without a known change, in ms, for weights that rise with time.
+ * At 710 instances and 1,200 databases, building it at each tick of 50 ms would take 2% of a core.
+ */
+const UPDATE_INTERVAL_MS = 250
+/** Time in which a new leader builds the directory at each tick, in ms: the longest wait before its first directory, and one tick. */
+const NEW_LEADER_MS = 1600
+
 export interface CoordinatorOptions {
   clock: Clock
   log: ControlLog
@@ -83,6 +93,9 @@
   const runEffects = createFailoverEffects({ log, orders, logEvent, deliver: failoverOutcome })
   const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
   let sharesAreStale = true
+  let directoryIsStale = true
+  let updatedAt = -Infinity
+  let publishedSwitches: ReadonlySet<GroupId> = entries.switching.read()
 
   function leadershipBegan (term: number): void {
     for (const part of [instances, databases, weights, assignment, builder, failover, lost, connections]) part.reset()
@@ -141,7 +154,7 @@
     if (outcome === 'ignored') return
     connections.heartbeat(connection, heartbeat)
     if (outcome === 'joined') logEvent('instanceJoined', { instance: heartbeat.instance, incarnation: heartbeat.incarnation })
-    if (outcome !== 'unchanged') assignment.invalidate()
+    if (outcome !== 'unchanged') instancesChanged()
     lost.remove(heartbeat.instance)
     for (const observation of heartbeat.observations) databases.observe(observation)
     const { instance, incarnation, draining, leaderTerm, held, demand } = heartbeat
@@ -155,7 +168,7 @@
     const outcome = databases.announce(announcement)
     if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
     if (outcome === 'departing') logEvent('databaseDeparting', { database, group })
-    if (outcome === 'announced' || outcome === 'departing') update()
+    if (outcome === 'announced' || outcome === 'departing' || outcome === 'returned') update()
   }
 
   function failoverMessage (message: FailoverMessage): void {
@@ -172,16 +185,13 @@
 
   /** A switchover that began or ended is published at once, as writes wait for it. */
   function publishSwitches (): void {
-    const directory = entries.directory.read()
-    if (directory === null) return
-    const published = directory.groups.filter(({ phase }) => phase === 'switching')
-    const switching = entries.switching.read()
-    const isCurrent = published.every(({ group }) => switching.has(group)) && [...switching].every((group) => published.some((entry) => entry.group === group))
-    if (!isCurrent) publish()
+    if (entries.switching.read() !== publishedSwitches) publish()
   }
 
   function update (): void {
     if (!leadership.isEstablished()) return
+    directoryIsStale = false
+    updatedAt = clock.now()
     weights.tick()
     for (const group of assignment.tick()) logEvent('holdersChanged', { group, holders: (entries.holders.read().get(group) ?? []).join(' ') })
     publish()
@@ -190,12 +200,24 @@
   function publish (): void {
     const state = publishedState()
     const isReady = state.directory !== null || isDirectoryReady(blackboard, clock.now())
+    publishedSwitches = entries.switching.read()
     const directory = isReady && leadership.isEstablished() ? builder.build() : null
     if (directory !== null || sharesAreStale) feedAllocator()
     connections.push(publishedState())
     if (directory !== null) failoverMessage({ kind: 'directory-published', directory })
   }
 
+  function instancesChanged (): void {
+    assignment.invalidate()
+    directoryIsStale = true
+  }
+
+  /** A new leader learns of holders and databases with each message. */
+  function updateInterval (): number {
+    const since = entries.leadership.read()?.since ?? clock.now()
+    return clock.now() - since < NEW_LEADER_MS ? 0 : UPDATE_INTERVAL_MS
+  }
+
   function feedAllocator (): void {
     sharesAreStale = false
     allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read() }))
@@ -207,6 +229,7 @@
     if (state === last) return
     stateEntry.write(state)
     if (state.manifestVersion === last.manifestVersion) return
+    if (leadership.term() !== null) logFailureDomains(last.manifest, state.manifest, logEvent)
     sharesAreStale = true
     assignment.invalidate()
   }
@@ -233,11 +256,11 @@
     if (leadership.term() === null) return
     for (const instance of instances.tick()) {
       lost.add(instance)
-      assignment.invalidate()
+      instancesChanged()
       logEvent('instanceLost', { instance: instance.instance })
     }
-    databases.tick()
-    update()
+    if (databases.tick().length > 0) directoryIsStale = true
+    if (directoryIsStale || clock.now() - updatedAt >= updateInterval()) update()
     runEffects(failover.tick())
     publishSwitches()
     allocator.tick()
--- /dev/null
+++ b/src/control/log-failure-domains.ts
@@ -0,0 +1,11 @@
+import { withdrawnFailureDomains } from '../decisions/failure-domains/database-weights.js'
+import type { LogEvent } from '../types/log-event.js'
+import type { Manifest } from '../types/manifest.js'
+
+/** Logs each failure domain that a new manifest takes out or brings back. */
+export function logFailureDomains (last: Manifest | null, current: Manifest | null, logEvent: LogEvent): void {
+  const before = withdrawnFailureDomains(last)
+  const after = withdrawnFailureDomains(current)
+  for (const failureDomain of after) if (!before.has(failureDomain)) logEvent('failureDomainOut', { failureDomain })
+  for (const failureDomain of before) if (!after.has(failureDomain)) logEvent('failureDomainIn', { failureDomain })
+}
--- a/src/decisions/failover/election.ts
+++ b/src/decisions/failover/election.ts
@@ -7,7 +7,7 @@
 import type { FencedDatabase } from './choose-primary.js'
 import { order, propose } from './group-context.js'
 import type { GroupContext } from './group-context.js'
-import { groupMajority } from './group-size.js'
+import { groupMajority } from '../../utils/group-majority.js'
 import type { ElectingStep, ElectionPlan, PromotingStep, RecordingStep } from './group-step.js'
 import { highestTerm, memberOf } from './group-view.js'
 
--- a/src/decisions/failover/failover-options.ts
+++ b/src/decisions/failover/failover-options.ts
@@ -26,6 +26,8 @@
   firstStartWaitMs?: number
   /** Interval of repeated follow orders to a database, in ms. Default: 1,000. */
   followRetryMs?: number
+  /** Interval in which groups in service are looked at, in ms. Default: 100; at 400 groups each look takes a share of the leader's core. */
+  idleCheckMs?: number
   /** A database with no sign of life for this long gets no orders outside an election, in ms. Default: 3,000, three announcement intervals. */
   databaseSilentMs?: number
 }
@@ -46,6 +48,7 @@
     positionQueryMs: 50,
     firstStartWaitMs: 1500,
     followRetryMs: 1000,
+    idleCheckMs: 100,
     databaseSilentMs: 3000,
     ...options
   }
--- a/src/decisions/failover/failover.ts
+++ b/src/decisions/failover/failover.ts
@@ -46,6 +46,9 @@
     state: blackboard.reader(replicatedStateEntry)
   })
   let records = new Map<GroupId, GroupRecord>()
+  /** Groups with a step under way. */
+  const active = new Set<GroupId>()
+  let lastFullTick = -Infinity
 
   function contextOf (group: GroupId, effects: FailoverEffect[]): GroupContext | undefined {
     const view = views.of(group)
@@ -58,22 +61,36 @@
   function advance (groups: Iterable<GroupId>, effects: FailoverEffect[]): FailoverEffect[] {
     for (const group of groups) {
       const context = contextOf(group, effects)
-      if (context !== undefined) advanceGroup(context)
+      if (context === undefined) continue
+      advanceGroup(context)
+      if (context.record.step.kind === 'idle') active.delete(group)
+      else active.add(group)
+      noteSwitch(context.record)
+      noteReport(context.record)
     }
-    writeEntries()
     return effects
   }
 
-  function writeEntries (): void {
+  function noteSwitch ({ group, step }: GroupRecord): void {
     const last = switchingEntry.read()
     // Until the log has the new term, the group must not go back to `serving`, or holders would take writes under the released one.
-    const switching = [...records.values()].filter(({ group, step }) => step.kind === 'switching' || (step.kind === 'beginning' && last.has(group)))
-    if (switching.length !== last.size || switching.some(({ group }) => !last.has(group))) {
-      switchingEntry.write(new Set(switching.map(({ group }) => group)))
-    }
-    const reports = changesEntry.read()
-    const isReported = [...records.values()].every(({ group, report }) => report === (reports.get(group) ?? null))
-    if (!isReported) changesEntry.write(new Map([...records.values()].flatMap(({ group, report }) => report === null ? [] : [[group, report]])))
+    const isSwitching = step.kind === 'switching' || (step.kind === 'beginning' && last.has(group))
+    if (isSwitching === last.has(group)) return
+    const next = new Set(last)
+    if (isSwitching) next.add(group)
+    else next.delete(group)
+    switchingEntry.write(next)
+  }
+
+  function noteReport ({ group, report }: GroupRecord): void {
+    if (report !== null && report !== changesEntry.read().get(group)) changesEntry.write(new Map([...changesEntry.read(), [group, report]]))
+  }
+
+  /** Advances all groups; those at rest less often, as nothing waits for them. */
+  function tick (): FailoverEffect[] {
+    if (clock.now() - lastFullTick < options.idleCheckMs) return advance([...active], [])
+    lastFullTick = clock.now()
+    return advance(views.groups(), [])
   }
 
   function orderMessage (order: SentOrder, apply: (context: GroupContext) => void): FailoverEffect[] {
@@ -89,11 +106,7 @@
       const context = contextOf(group.group, [])
       if (context !== undefined) groupPublished(context, group, directory)
     }
-    return advance(activeGroups(), [])
-  }
-
-  function activeGroups (): GroupId[] {
-    return [...records.values()].filter(({ step }) => step.kind !== 'idle').map(({ group }) => group)
+    return advance([...active], [])
   }
 
   function handle (message: FailoverMessage): FailoverEffect[] {
@@ -116,17 +129,19 @@
         return advance([message.command.group], effects)
       }
       case 'directory-published': return directoryPublished(message.directory)
-      case 'heartbeat-arrived': return advance(activeGroups(), [])
+      case 'heartbeat-arrived': return advance([...active], [])
     }
   }
 
   function reset (): void {
     records = new Map()
+    active.clear()
+    lastFullTick = -Infinity
     switchingEntry.write(new Set())
     changesEntry.write(new Map())
   }
 
-  return { handle, tick: () => advance(views.groups(), []), reset }
+  return { handle, tick, reset }
 }
 
 /** Notes what the attached instances were told of a group. */
--- a/src/decisions/failover/first-start.ts
+++ b/src/decisions/failover/first-start.ts
@@ -1,6 +1,6 @@
 import { beginElection } from './election.js'
 import type { GroupContext } from './group-context.js'
-import { groupMajority } from './group-size.js'
+import { groupMajority } from '../../utils/group-majority.js'
 import type { ElectionPlan } from './group-step.js'
 import { highestTerm } from './group-view.js'
 import type { GroupMember, GroupView } from './group-view.js'
