--- /dev/null
+++ b/measure/measures.ts
@@ -0,0 +1,7 @@
+import type { Measure } from './measure.js'
+import { manifestInForceMeasure } from './manifest-in-force.js'
+
+/** All measures in the order in which they run. */
+export const measures: readonly Measure[] = [
+  manifestInForceMeasure
+]
--- a/src/control/control-instance.ts
+++ b/src/control/control-instance.ts
@@ -1,4 +1,4 @@
-import { VError } from 'verror'
+import VError from 'verror'
 import type { OperatorServer } from '../adapters/http/operator-server.js'
 import { listenForOperators } from '../adapters/http/operator-server.js'
 import { createDatabaseOrders } from '../adapters/postgres/database-orders.js'
