--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -4,12 +4,12 @@
 import { createCoordinator } from '../../src/control/coordinator.js'
 import { milliseconds } from '../../src/types/clock.js'
 import type { ControlLogFailure } from '../../src/types/control-log.js'
-import type { ControlToEntry, Heartbeat } from '../../src/types/control-message.js'
-import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId } from '../../src/types/ids.js'
+import type { ControlToEntry } from '../../src/types/control-message.js'
+import { address, groupId, instanceId } from '../../src/types/ids.js'
 import type { ResourceId } from '../../src/types/ids.js'
 import type { ReplicatedState } from '../../src/types/replicated-state.js'
 import type { ResourceSize } from '../../src/types/share-allocator.js'
-import { statusOf } from '../decisions/failover/fixtures/group-harness.js'
+import { announcementOf, heartbeatOf, statusOf } from '../decisions/membership/fixtures/messages.js'
 import { createStubAllocator } from './fixtures/world.js'
 
 type Confirmation = (result: Result<number, ControlLogFailure>) => void
@@ -81,33 +81,12 @@
   }
 }
 
-function heartbeat (sequence: number, changes: Partial<Heartbeat> = {}): Heartbeat {
-  return {
-    version: 1,
-    kind: 'heartbeat',
-    sequence,
-    instance: instanceId('i'),
-    incarnation: incarnationId('i/1'),
-    peerAddress: address('i:1'),
-    failureDomain: failureDomainId('a'),
-    draining: false,
-    leaderTerm: 0,
-    manifestVersion: 0,
-    directoryVersion: null,
-    held: [],
-    demand: [],
-    observations: [],
-    releasedTerms: [],
-    ...changes
-  }
-}
-
 const kinds = (messages: ControlToEntry[]) => messages.map((message) => message.kind === 'heartbeat-answer' ? `answer ${message.sequence}` : message.kind)
 
 t.test('a heartbeat is answered only after a round that began after it arrived', async (t) => {
   const { coordinator, confirmations, take, wait } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1))
-  coordinator.handle('c', heartbeat(2))
+  coordinator.handle('c', heartbeatOf(1))
+  coordinator.handle('c', heartbeatOf(2))
   wait(50)
   t.equal(confirmations.length, 1)
   t.same(kinds(take()).filter((kind) => kind.startsWith('answer')), [])
@@ -127,7 +106,7 @@
 for (const { name, result } of refusals) {
   t.test(`${name} gives no lease and renews no share`, async (t) => {
     const { coordinator, confirmations, renewed, take } = await startCoordinator()
-    coordinator.handle('c', heartbeat(1))
+    coordinator.handle('c', heartbeatOf(1))
     confirmations[0]?.(result)
     await settled()
     t.notOk(kinds(take()).includes('answer 1'))
@@ -137,21 +116,21 @@
 
 t.test('a deposed leader refers its instances to the new one at once and does not answer a round that ends later', async (t) => {
   const { coordinator, confirmations, depose, take } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1))
+  coordinator.handle('c', heartbeatOf(1))
   take()
   depose()
   t.match(take(), [{ kind: 'not-leader', leaderAddress: 'other:1' }])
   confirmations[0]?.(ok(7))
   await settled()
   t.same(take(), [])
-  coordinator.handle('c', heartbeat(2))
+  coordinator.handle('c', heartbeatOf(2))
   t.same(kinds(take()), ['not-leader'])
 })
 
 t.test('the manifest and the directory are sent before the answer that names them, and again when a later heartbeat lacks them', async (t) => {
   const { coordinator, confirmations, take, wait } = await startCoordinator()
   wait(2000)
-  coordinator.handle('c', heartbeat(1))
+  coordinator.handle('c', heartbeatOf(1))
   wait(50)
   confirmations[0]?.(ok(7))
   await settled()
@@ -159,7 +138,7 @@
   for (const [sequence, pauseMs, expected] of [[2, 100, ['answer 2']], [3, 400, ['manifest', 'directory', 'answer 3']]] as const) {
     wait(pauseMs)
     take()
-    coordinator.handle('c', heartbeat(sequence))
+    coordinator.handle('c', heartbeatOf(sequence))
     confirmations.at(-1)?.(ok(7))
     await settled()
     t.same(kinds(take()), expected, `heartbeat ${sequence}`)
@@ -168,7 +147,7 @@
 
 t.test('a committed manifest is pushed at once, so that a withdrawn key stops within the target', async (t) => {
   const { coordinator, commit, take } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1, { manifestVersion: 1 }))
+  coordinator.handle('c', heartbeatOf(1, { manifestVersion: 1 }))
   take()
   commit(2)
   t.match(take().filter(({ kind }) => kind === 'manifest'), [{ kind: 'manifest', manifestVersion: 2 }])
@@ -176,7 +155,7 @@
 
 t.test('an instance whose shares changed is asked for a heartbeat at once, as shares are granted in answers only', async (t) => {
   const { coordinator, change, take, wait } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1))
+  coordinator.handle('c', heartbeatOf(1))
   take()
   change('i')
   wait(50)
@@ -185,12 +164,11 @@
 
 t.test('status watches and control keep connections that are not shared out; slots and connections go to holders only', async (t) => {
   const { coordinator, resources, wait } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1))
-  const announcement = { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('a'), departing: false, status: statusOf('d') }
-  coordinator.handle('c', { version: 1, kind: 'announcement', announcement })
+  coordinator.handle('c', heartbeatOf(1))
+  coordinator.handle('c', { version: 1, kind: 'announcement', announcement: announcementOf(statusOf('d')) })
   for (let time = 0; time < 2000; time += 500) {
     wait(500)
-    coordinator.handle('c', heartbeat(time))
+    coordinator.handle('c', heartbeatOf(time))
   }
   t.same(Object.fromEntries(resources()), {
     'rate:w': { amount: 100, burst: 20, whole: false, eligible: null },
@@ -201,7 +179,7 @@
 
 t.test('the summary tells of a lost instance what it proved last, so that a report does not claim more', async (t) => {
   const { coordinator, wait } = await startCoordinator()
-  coordinator.handle('c', heartbeat(1, { manifestVersion: 1 }))
+  coordinator.handle('c', heartbeatOf(1, { manifestVersion: 1 }))
   wait(1600)
   t.match(coordinator.summary().instances, [{ instance: 'i', lost: true, manifestVersion: 1, provenAgoMs: 1600 }])
 })
--- a/test/decisions/failover/choose-primary.test.ts
+++ b/test/decisions/failover/choose-primary.test.ts
@@ -4,7 +4,7 @@
 import type { FencedDatabase } from '../../../src/decisions/failover/choose-primary.js'
 import { databaseId } from '../../../src/types/ids.js'
 import { isAtOrPast } from '../../../src/types/log-position.js'
-import { statusOf } from './fixtures/group-harness.js'
+import { statusOf } from '../membership/fixtures/messages.js'
 
 const fenced = (name: string, term: number, offset: number, weight = 1): FencedDatabase => ({ database: databaseId(name), weight, status: statusOf(name, { position: { term, offset } }) })
 
--- a/test/decisions/failover/election.test.ts
+++ b/test/decisions/failover/election.test.ts
@@ -2,7 +2,8 @@
 import type { FailoverEffect, SentOrder } from '../../../src/decisions/failover/failover-message.js'
 import { groupId } from '../../../src/types/ids.js'
 import type { ReplicatedGroup } from '../../../src/types/replicated-state.js'
-import { commandsIn, createGroupHarness, ordersIn, statusOf } from './fixtures/group-harness.js'
+import { commandsIn, createGroupHarness, ordersIn } from './fixtures/group-harness.js'
+import { statusOf } from '../membership/fixtures/messages.js'
 
 const interrupted: ReplicatedGroup = { group: groupId('g'), term: 3, primary: null, phase: 'electing' }
 
--- a/test/decisions/failover/primary-failure-detector.test.ts
+++ b/test/decisions/failover/primary-failure-detector.test.ts
@@ -2,7 +2,8 @@
 import { isPrimaryLost } from '../../../src/decisions/failover/primary-failure-detector.js'
 import { milliseconds } from '../../../src/types/clock.js'
 import { databaseId, groupId, instanceId } from '../../../src/types/ids.js'
-import { registeredDatabase, registeredInstance, statusOf } from './fixtures/group-harness.js'
+import { registeredDatabase, registeredInstance } from './fixtures/group-harness.js'
+import { statusOf } from '../membership/fixtures/messages.js'
 
 const NOW = 20_000
 const primary = databaseId('p')
--- a/test/decisions/failure-domains/database-weights.test.ts
+++ b/test/decisions/failure-domains/database-weights.test.ts
@@ -4,7 +4,8 @@
 import { createDatabaseWeights } from '../../../src/decisions/failure-domains/database-weights.js'
 import { milliseconds } from '../../../src/types/clock.js'
 import { databaseId, failureDomainId } from '../../../src/types/ids.js'
-import { registeredDatabase, statusOf } from '../failover/fixtures/group-harness.js'
+import { registeredDatabase } from '../failover/fixtures/group-harness.js'
+import { statusOf } from '../membership/fixtures/messages.js'
 
 interface WeightStep { at: number, out?: boolean, departing?: boolean, weight: number }
 
--- a/test/decisions/membership/registries.test.ts
+++ b/test/decisions/membership/registries.test.ts
@@ -4,33 +4,10 @@
 import { createDatabaseRegistry } from '../../../src/decisions/membership/database-registry.js'
 import { createInstanceRegistry } from '../../../src/decisions/membership/instance-registry.js'
 import { milliseconds } from '../../../src/types/clock.js'
-import type { Heartbeat } from '../../../src/types/control-message.js'
-import type { Announcement } from '../../../src/types/database-status.js'
-import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId } from '../../../src/types/ids.js'
+import { databaseId, incarnationId, instanceId } from '../../../src/types/ids.js'
+import { announcementOf, heartbeatOf, statusOf } from './fixtures/messages.js'
 
-interface ClockStep { at: number }
-
-interface HeartbeatStep extends ClockStep { run: string, sequence: number, outcome: string, draining?: boolean }
-
-function heartbeat ({ run, sequence, draining = false }: HeartbeatStep): Heartbeat {
-  return {
-    version: 1,
-    kind: 'heartbeat',
-    sequence,
-    instance: instanceId('i'),
-    incarnation: incarnationId(run),
-    peerAddress: address('h:1'),
-    failureDomain: failureDomainId('d'),
-    draining,
-    leaderTerm: 1,
-    manifestVersion: 1,
-    directoryVersion: null,
-    held: [],
-    demand: [],
-    observations: [],
-    releasedTerms: []
-  }
-}
+interface HeartbeatStep { at: number, run: string, sequence: number, outcome: string, draining?: boolean }
 
 const heartbeatCases: { name: string, steps: HeartbeatStep[], run: string | undefined }[] = [
   { name: 'a doubled or overtaken heartbeat does not revive an instance', steps: [{ at: 0, run: 'a', sequence: 2, outcome: 'joined' }, { at: 1400, run: 'a', sequence: 2, outcome: 'ignored' }, { at: 1510, run: 'a', sequence: 1, outcome: 'ignored' }], run: undefined },
@@ -48,7 +25,7 @@
     for (const step of steps) {
       now = step.at
       registry.tick()
-      t.equal(registry.handle(heartbeat(step)), step.outcome, `at ${step.at}`)
+      t.equal(registry.handle(heartbeatOf(step.sequence, { incarnation: incarnationId(step.run), draining: step.draining ?? false })), step.outcome, `at ${step.at}`)
     }
     now = Math.max(1600, now)
     registry.tick()
@@ -56,18 +33,7 @@
   })
 }
 
-interface AnnouncementStep extends ClockStep { run: string, departing: boolean, outcome: string }
-
-function announcement ({ run, departing }: AnnouncementStep): Announcement {
-  return {
-    database: databaseId('d'),
-    group: groupId('g'),
-    address: address('h:2'),
-    failureDomain: failureDomainId('a'),
-    departing,
-    status: { database: databaseId('d'), incarnation: incarnationId(run), role: 'replica', term: 1, fencedTerm: 1, position: { term: 1, offset: 1 }, ageMs: 0 }
-  }
-}
+interface AnnouncementStep { at: number, run: string, departing: boolean, outcome: string }
 
 const announcementCases: { name: string, steps: AnnouncementStep[], departing: boolean | undefined, until: number }[] = [
   { name: 'a delayed older announcement does not bring a departing database back', steps: [{ at: 0, run: 'a', departing: false, outcome: 'announced' }, { at: 100, run: 'a', departing: true, outcome: 'departing' }, { at: 200, run: 'a', departing: false, outcome: 'unchanged' }], departing: true, until: 200 },
@@ -85,7 +51,7 @@
     const registry = createDatabaseRegistry({ blackboard, clock: { now: () => milliseconds(now) } })
     for (const step of steps) {
       now = step.at
-      t.equal(registry.announce(announcement(step)), step.outcome, `at ${step.at}`)
+      t.equal(registry.announce(announcementOf(statusOf('d', { incarnation: incarnationId(step.run) }), step.departing)), step.outcome, `at ${step.at}`)
     }
     now = until
     registry.tick()
