control: check messages of other members

A member of another release, or a fault in a transport, could hand over a message that makes the controller throw. The runner drops anything that is no message of its format version.

--- /dev/null
+++ b/src/control/consensus-message-schema.ts
@@ -0,0 +1,66 @@
+import { z } from 'zod'
+import type { ConsensusMessage } from '../types/consensus-message.js'
+
+const count = z.number().int().nonnegative()
+const name = z.string().min(1)
+
+const member = z.object({ member: name, address: name, role: z.enum(['voter', 'learner']) })
+
+const command = z.discriminatedUnion('kind', [
+  // The content of a manifest was checked before it was proposed.
+  z.object({ kind: z.literal('commit-manifest'), base: count, manifest: z.looseObject({}), digest: name, operator: z.string() }),
+  z.object({ kind: z.literal('begin-election'), group: name, term: count }),
+  z.object({ kind: z.literal('set-primary'), group: name, term: count, database: name })
+])
+
+const payload = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('command'), command }),
+  z.object({ kind: z.literal('membership'), cluster: name, members: z.array(member) }),
+  z.object({ kind: z.literal('leadership') })
+])
+
+const entry = z.object({ index: count, term: count, payload })
+
+const state = z.object({
+  manifestVersion: count,
+  manifest: z.looseObject({}).nullable(),
+  acceptedDigests: z.array(z.object({ version: count, digest: name, operator: z.string() })),
+  groups: z.array(z.object({ group: name, term: count, primary: name.nullable(), phase: z.enum(['serving', 'electing']) }))
+})
+
+const snapshot = z.object({ index: count, term: count, cluster: name, members: z.array(member), state })
+
+const version = z.literal(1)
+const header = { version, cluster: name, from: name, fromAddress: name, to: name, term: count }
+const logEnd = { lastIndex: count, lastTerm: count }
+const probe = { version, from: name, fromAddress: name, nonce: count, cluster: name.nullable() }
+
+const message = z.discriminatedUnion('kind', [
+  z.object({ ...header, ...logEnd, kind: z.literal('pre-vote'), nextTerm: count }),
+  z.object({ ...header, kind: z.literal('pre-vote-answer'), nextTerm: count, granted: z.boolean() }),
+  z.object({ ...header, ...logEnd, kind: z.literal('vote') }),
+  z.object({ ...header, kind: z.literal('vote-answer'), granted: z.boolean() }),
+  z.object({
+    ...header,
+    kind: z.literal('append'),
+    entryAddress: name,
+    round: count,
+    previousIndex: count,
+    previousTerm: count,
+    entries: z.array(entry),
+    commitIndex: count
+  }).refine((append) => append.entries.every((item, position) => item.index === append.previousIndex + 1 + position)),
+  z.object({ ...header, kind: z.literal('append-answer'), round: count, accepted: z.boolean(), matchIndex: count, nextIndex: count }),
+  z.object({ ...header, kind: z.literal('snapshot'), entryAddress: name, round: count, snapshot }),
+  z.object({ ...probe, kind: z.literal('probe') }),
+  z.object({ ...probe, kind: z.literal('probe-answer'), to: name })
+])
+
+/**
+ * Checks a decoded message of another member. A member of another release must not be able to stop this one.
+ * @param value - any value
+ * @returns the value itself, or null when it is no message of this format version
+ */
+export function checkConsensusMessage (value: unknown): ConsensusMessage | null {
+  return message.safeParse(value).success ? value as ConsensusMessage : null
+}
--- a/src/control/control-log-runner.ts
+++ b/src/control/control-log-runner.ts
@@ -5,19 +5,19 @@
 import { createConsensusController } from '../decisions/consensus/consensus-controller.js'
 import type { ConsensusEffect, ConsensusInput } from '../decisions/consensus/consensus-effect.js'
 import { applyCommand, emptyReplicatedState } from '../decisions/manifest/apply-command.js'
-import type { ConsensusMessage } from '../types/consensus-message.js'
 import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
 import type { DurableRecord, StorageFailure } from '../types/control-storage.js'
 import type { CommandAnswer } from '../types/replicated-state.js'
 import { resultCodes } from '../types/result-code.js'
 import type { ControlLogOptions, ResolvedControlLogOptions } from './control-log-options.js'
 import { resolveControlLogOptions } from './control-log-options.js'
+import { checkConsensusMessage } from './consensus-message-schema.js'
 import { createOpenCalls } from './open-calls.js'
 
 /** The replicated log of a running control member. */
 export interface ControlLogRunner extends ControlLog {
-  /** Takes a message of another member. */
-  receive: (message: ConsensusMessage) => void
+  /** Takes a decoded message of another member; drops anything that is no valid message. */
+  receive: (message: unknown) => void
   /** Stops the member; open proposals become unknown. */
   stop: () => Promise<void>
 }
@@ -138,7 +138,10 @@
       return await result
     },
     onChange: (listener) => { listeners.push(listener) },
-    receive: (message) => handle({ kind: 'received', message }),
+    receive: (value) => {
+      const message = checkConsensusMessage(value)
+      if (message !== null) handle({ kind: 'received', message })
+    },
     stop: async () => {
       if (!isStopped) end()
       await storage.close()
