execution: index connections by database, compose no names per message

Composing share names and filtering all connections for each message took most of the executor's time.

--- a/src/decisions/connections/connection-pool.ts
+++ b/src/decisions/connections/connection-pool.ts
@@ -45,6 +45,8 @@
 }
 
 const MODES: readonly ConnectionMode[] = ['read', 'write']
+const WRITE_FIRST: readonly ConnectionMode[] = ['write', 'read']
+const NONE: ReadonlySet<PooledConnection> = new Set()
 const NO_BACKOFF: Backoff = { failures: 0, until: milliseconds(-Infinity) }
 
 function resolveOptions (options: ConnectionPoolOptions): Required<ConnectionPoolOptions> {
@@ -55,11 +57,33 @@
   const options = resolveOptions(poolOptions)
   const { clock, emit } = options
   const connections = new Map<ConnectionId, PooledConnection>()
+  const byDatabase = new Map<DatabaseId, Set<PooledConnection>>()
   const backoffs = new Map<DatabaseId, Backoff>()
   let nextNumber = 1
 
-  function of (database: DatabaseId): PooledConnection[] {
-    return [...connections.values()].filter((connection) => connection.database === database)
+  const of = (database: DatabaseId): ReadonlySet<PooledConnection> => byDatabase.get(database) ?? NONE
+
+  function countOf (database: DatabaseId, matches: (connection: PooledConnection) => boolean): number {
+    let count = 0
+    for (const connection of of(database)) if (matches(connection)) count++
+    return count
+  }
+
+  function add (connection: PooledConnection): void {
+    connections.set(connection.id, connection)
+    const held = byDatabase.get(connection.database) ?? new Set()
+    byDatabase.set(connection.database, held.add(connection))
+  }
+
+  /** @returns whether the connection was in the pool */
+  function remove (id: ConnectionId): boolean {
+    const connection = connections.get(id)
+    if (connection === undefined) return false
+    connections.delete(id)
+    const held = byDatabase.get(connection.database)
+    held?.delete(connection)
+    if (held?.size === 0) byDatabase.delete(connection.database)
+    return true
   }
 
   function setState (connection: PooledConnection, state: PooledConnection['state']): void {
@@ -68,7 +92,7 @@
   }
 
   function discard (id: ConnectionId): void {
-    if (connections.delete(id)) emit({ kind: 'close-connection', connection: id })
+    if (remove(id)) emit({ kind: 'close-connection', connection: id })
   }
 
   function backOff (database: DatabaseId): void {
@@ -84,7 +108,7 @@
   function openFailed (id: ConnectionId): void {
     const connection = connections.get(id)
     if (connection === undefined) return
-    connections.delete(id)
+    remove(id)
     backOff(connection.database)
   }
 
@@ -98,8 +122,8 @@
   }
 
   function findIdle (database: DatabaseId, mode: ConnectionMode, incarnation: IncarnationId): PooledConnection | undefined {
-    for (const connection of connections.values()) {
-      if (connection.database === database && connection.mode === mode && connection.state === 'idle' && connection.incarnation === incarnation) return connection
+    for (const connection of of(database)) {
+      if (connection.mode === mode && connection.state === 'idle' && connection.incarnation === incarnation) return connection
     }
     return undefined
   }
@@ -123,7 +147,7 @@
   }
 
   function giveUpOverdueOpens (): void {
-    for (const connection of [...connections.values()]) {
+    for (const connection of connections.values()) {
       if (connection.state !== 'opening' || clock.now() - connection.since <= options.longestOpenMs) continue
       discard(connection.id)
       backOff(connection.database)
@@ -132,58 +156,63 @@
 
   function closeForbidden (targets: readonly ConnectionTarget[]): void {
     giveUpOverdueOpens()
-    const byDatabase = new Map(targets.map((target) => [target.database, target]))
-    for (const connection of [...connections.values()]) {
-      if (connection.state === 'busy' || !isForbidden(connection, byDatabase.get(connection.database))) continue
+    for (const connection of connections.values()) {
+      if (connection.state === 'busy') continue
+      const target = targets.find((entry) => entry.database === connection.database)
+      if (!isForbidden(connection, target)) continue
       // Without a pause, a status that lags behind a restart would cause one open after another.
-      if (byDatabase.has(connection.database) && !isBackingOff(connection.database)) backOff(connection.database)
+      if (target !== undefined && !isBackingOff(connection.database)) backOff(connection.database)
       discard(connection.id)
     }
     for (const target of targets) shrink(target)
   }
 
   function shrink (target: ConnectionTarget): void {
-    const held = of(target.database)
+    const excess = of(target.database).size - target.limit
+    if (excess <= 0) return
+    const held = [...of(target.database)]
     const spare = [...held.filter((connection) => connection.state === 'opening'), ...held.filter((connection) => connection.state === 'idle')]
-    const excess = held.length - target.limit
-    for (const connection of spare.slice(0, Math.max(0, excess))) discard(connection.id)
+    for (const connection of spare.slice(0, excess)) discard(connection.id)
   }
 
   function closeUnwantedIdle (target: ConnectionTarget): void {
     for (const mode of MODES) {
-      const idle = of(target.database).filter((connection) => connection.mode === mode && connection.state === 'idle')
-      const old = idle.filter((connection) => clock.now() - connection.since > options.idleCloseMs)
+      const isIdle = (connection: PooledConnection): boolean => connection.mode === mode && connection.state === 'idle'
+      const isOld = (connection: PooledConnection): boolean => isIdle(connection) && clock.now() - connection.since > options.idleCloseMs
+      if (countOf(target.database, isOld) === 0) continue
+      const idle = [...of(target.database)].filter(isIdle)
+      const old = idle.filter(isOld)
       for (const connection of old.slice(0, Math.max(0, idle.length - target.wanted[mode]))) discard(connection.id)
     }
   }
 
   function spareCount (database: DatabaseId, mode: ConnectionMode): number {
-    return of(database).filter((connection) => connection.mode === mode && connection.state !== 'busy').length
+    return countOf(database, (connection) => connection.mode === mode && connection.state !== 'busy')
   }
 
   /** Closes an idle connection of the other mode when requests wait for the first one of this mode. */
   function makeRoom (target: ConnectionTarget, mode: ConnectionMode): void {
     if (target.missing[mode] === 0 || spareCount(target.database, mode) > 0) return
-    const other = of(target.database).find((connection) => connection.mode !== mode && connection.state === 'idle')
+    const other = [...of(target.database)].find((connection) => connection.mode !== mode && connection.state === 'idle')
     if (other !== undefined) discard(other.id)
   }
 
   function open (target: ConnectionTarget, mode: ConnectionMode): void {
     const id = connectionId(`${options.group}.${nextNumber++}`)
-    connections.set(id, { id, database: target.database, address: target.address, mode, state: 'opening', incarnation: null, since: clock.now() })
+    add({ id, database: target.database, address: target.address, mode, state: 'opening', incarnation: null, since: clock.now() })
     emit({ kind: 'open-connection', connection: id, database: target.database, address: target.address, mode })
   }
 
   function openMissing (target: ConnectionTarget, mode: ConnectionMode): void {
-    if (of(target.database).length >= target.limit) makeRoom(target, mode)
+    if (of(target.database).size >= target.limit) makeRoom(target, mode)
     const missing = target.wanted[mode] - spareCount(target.database, mode)
-    const room = target.limit - of(target.database).length
+    const room = target.limit - of(target.database).size
     for (let count = Math.min(missing, room); count > 0; count--) open(target, mode)
   }
 
   /** Modes that requests wait for come first, so that a spare connection of the other mode doesn't take the last place. */
-  function byNeed (target: ConnectionTarget): ConnectionMode[] {
-    return [...MODES].sort((left, right) => target.missing[right] - target.missing[left])
+  function byNeed (target: ConnectionTarget): readonly ConnectionMode[] {
+    return target.missing.write > target.missing.read ? WRITE_FIRST : MODES
   }
 
   function openWanted (targets: readonly ConnectionTarget[]): void {
@@ -197,14 +226,14 @@
   return {
     opened,
     openFailed,
-    forget: (id) => { connections.delete(id) },
+    forget: (id) => { remove(id) },
     acquire,
     hasIdle: (database, mode, incarnation) => findIdle(database, mode, incarnation) !== undefined,
     release,
     discard,
     closeForbidden,
     openWanted,
-    count: (database) => of(database).length,
-    busyCount: (database, mode) => of(database).filter((connection) => connection.mode === mode && connection.state === 'busy').length
+    count: (database) => of(database).size,
+    busyCount: (database, mode) => countOf(database, (connection) => connection.mode === mode && connection.state === 'busy')
   }
 }
--- a/src/decisions/execution/group-view.ts
+++ b/src/decisions/execution/group-view.ts
@@ -2,7 +2,7 @@
 import { directoryEntry, drainingEntry, freshnessEntry, manifestEntry, observedDatabasesEntry, sharesEntry, type ObservedDatabase } from '../../blackboard/entry-instance-entries.js'
 import type { Clock } from '../../types/clock.js'
 import type { Directory, DirectoryDatabase, DirectoryGroup } from '../../types/directory.js'
-import { resourceId, type DatabaseId, type GroupId, type InstanceId, type ResourceKind } from '../../types/ids.js'
+import { resourceId, type DatabaseId, type GroupId, type InstanceId, type ResourceId } from '../../types/ids.js'
 import type { Manifest } from '../../types/manifest.js'
 
 /** What the blackboard says about one group at this moment. */
@@ -72,8 +72,19 @@
     return cached
   }
 
-  function leased (kind: ResourceKind, id: DatabaseId): number | null {
-    const share = sharesReader.read().get(resourceId(kind, id))
+  // Shares are read several times for each message, so their names are not composed anew each time.
+  const resourceNames: Record<'slots' | 'connections', Map<DatabaseId, ResourceId>> = { slots: new Map(), connections: new Map() }
+
+  function resourceOf (kind: 'slots' | 'connections', id: DatabaseId): ResourceId {
+    const known = resourceNames[kind].get(id)
+    if (known !== undefined) return known
+    const name = resourceId(kind, id)
+    resourceNames[kind].set(id, name)
+    return name
+  }
+
+  function leased (kind: 'slots' | 'connections', id: DatabaseId): number | null {
+    const share = sharesReader.read().get(resourceOf(kind, id))
     if (share === undefined || clock.now() >= share.validUntil) return null
     return Math.floor(share.amount)
   }
--- a/src/decisions/execution/key-check.ts
+++ b/src/decisions/execution/key-check.ts
@@ -15,11 +15,10 @@
 interface Index {
   manifest: Manifest | null
   workspaces: ReadonlyMap<WorkspaceId, Workspace>
-  keys: ReadonlySet<string>
+  keys: ReadonlyMap<WorkspaceId, ReadonlySet<KeyId>>
   openStatements: ReadonlySet<string>
 }
 
-const keyName = (workspace: WorkspaceId, key: KeyId): string => JSON.stringify([workspace, key])
 const openName = (workspace: WorkspaceId, access: string, statement: string): string => JSON.stringify([workspace, access, statement])
 
 function indexOf (manifest: Manifest | null, group: GroupId): Index {
@@ -28,7 +27,7 @@
   return {
     manifest,
     workspaces: new Map(own.map((workspace) => [workspace.id, workspace])),
-    keys: new Set(own.flatMap((workspace) => workspace.keys.map((key) => keyName(workspace.id, key.id)))),
+    keys: new Map(own.map((workspace) => [workspace.id, new Set(workspace.keys.map((key) => key.id))])),
     openStatements: new Set(open.map((route) => openName(route.workspace, route.access, route.statement)))
   }
 }
@@ -49,7 +48,7 @@
     return index().workspaces.has(workspace) && index().openStatements.has(openName(workspace, operation.access, operation.statement))
   }
 
-  const isKeyValid = (workspace: WorkspaceId, key: KeyId): boolean => index().keys.has(keyName(workspace, key))
+  const isKeyValid = (workspace: WorkspaceId, key: KeyId): boolean => index().keys.get(workspace)?.has(key) ?? false
 
   return {
     isKeyValid,
--- a/src/decisions/execution/placement.ts
+++ b/src/decisions/execution/placement.ts
@@ -32,7 +32,7 @@
 
 export function createPlacer (parts: ExecutorParts): Placer {
   const { options, view, slots, pool, transactions, runner } = parts
-  const missingCounts = new Map<string, number>()
+  const missingCounts: Record<ConnectionMode, Map<DatabaseId, number>> = { read: new Map(), write: new Map() }
   let cachedCandidates: ReadCandidate[] | null = null
 
   function candidateOf (database: DatabaseId, weight: number): ReadCandidate {
@@ -57,8 +57,8 @@
   }
 
   function noteMissing (database: DatabaseId, mode: ConnectionMode): void {
-    const key = `${mode}:${database}`
-    missingCounts.set(key, (missingCounts.get(key) ?? 0) + 1)
+    const counts = missingCounts[mode]
+    counts.set(database, (counts.get(database) ?? 0) + 1)
   }
 
   function hasConnection (database: DatabaseId, mode: ConnectionMode): boolean {
@@ -127,12 +127,13 @@
 
   return {
     startRound: () => {
-      missingCounts.clear()
+      missingCounts.read.clear()
+      missingCounts.write.clear()
       cachedCandidates = null
     },
     place: (record) => isRead(record) ? placeRead(record) : placeWrite(record),
     invalidate: () => { cachedCandidates = null },
-    missing: (database, mode) => missingCounts.get(`${mode}:${database}`) ?? 0,
+    missing: (database, mode) => missingCounts[mode].get(database) ?? 0,
     refusalAtDeadline
   }
 }
--- a/src/decisions/execution/request-table.ts
+++ b/src/decisions/execution/request-table.ts
@@ -34,7 +34,8 @@
   size: () => number
 }
 
-const keyOf = (from: RequesterName, id: RequestId): string => JSON.stringify([from, id])
+// The length keeps keys of different requesters apart whatever characters the names hold.
+const keyOf = (from: RequesterName, id: RequestId): string => `${from.length}:${from}${id}`
 
 export function createRequestTable (clock: Clock, emit: (effect: ExecutorEffect) => void): RequestTable {
   const records = new Map<string, RequestRecord>()
