execution: open transactions hold up a switchover for 1 s at most

A transaction may be idle for 10 s, but the control leader gives a switchover up after 2 s, and a departing primary gets no new writes meanwhile. One idle transaction would have stopped all writes of its group. After the grace time a transaction without a running statement is rolled back, and its caller is told.

--- a/src/decisions/execution/executor-options.ts
+++ b/src/decisions/execution/executor-options.ts
@@ -24,6 +24,11 @@
   transactionIdleMs?: number
   /** How long a transaction may stay open. Default 60,000. */
   longestTransactionMs?: number
+  /**
+   * How long open transactions may hold up a planned switchover. Default 1,000: a departing database gets no new work
+   * after 3 s, and the control leader gives a switchover up after 2 s.
+   */
+  switchoverGraceMs?: number
 }
 
 export type ResolvedExecutorOptions = Required<GroupExecutorOptions>
@@ -36,6 +41,7 @@
     longestOperationMs: 5000,
     transactionIdleMs: 10_000,
     longestTransactionMs: 60_000,
+    switchoverGraceMs: 1000,
     ...options
   }
 }
--- a/src/decisions/execution/transaction-operations.ts
+++ b/src/decisions/execution/transaction-operations.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '../../types/clock.js'
 import type { DatabaseOperation } from '../../types/database-operation.js'
 import type { Refusal } from '../../types/outcome.js'
 import type { Operation } from '../../types/peer-message.js'
@@ -31,6 +32,7 @@
 export function createTransactionOperations (parts: ExecutorParts): TransactionOperations {
   const { options, view, keys, requests, queue, slots, runner, pool, transactions } = parts
   const { clock } = options
+  let switchingSince: Milliseconds | null = null
 
   function chargeHeldTime (transaction: Transaction): void {
     const held = clock.now() - transaction.chargedUntil
@@ -118,6 +120,16 @@
     }
   }
 
+  function noteSwitchover (): void {
+    if (view.group()?.phase !== 'switching') switchingSince = null
+    else switchingSince ??= clock.now()
+  }
+
+  // Writes of the whole group wait until the last open transaction has ended.
+  function holdsUpSwitchover (transaction: Transaction): boolean {
+    return transaction.current === null && switchingSince !== null && clock.now() - switchingSince >= options.switchoverGraceMs
+  }
+
   /** @returns why the transaction must end, or null */
   function endOf (transaction: Transaction): string | null {
     const key = transaction.beginRequest.keyId
@@ -126,11 +138,13 @@
     if (key === null || !keys.isKeyValid(transaction.workspace, key)) return 'the key of the transaction was withdrawn'
     if (!view.hasConnectionShare(transaction.connection.database)) return 'the connection share of the instance ran out'
     if (now - transaction.beganAt >= options.longestTransactionMs) return `the transaction was open for ${options.longestTransactionMs} ms`
+    if (holdsUpSwitchover(transaction)) return 'the primary of the group is being changed'
     if (transaction.current === null && now - transaction.lastUsedAt >= options.transactionIdleMs) return `the transaction was idle for ${options.transactionIdleMs} ms`
     return null
   }
 
   function sweep (): void {
+    noteSwitchover()
     for (const transaction of transactions.all()) {
       const reason = endOf(transaction)
       if (reason === null) chargeHeldTime(transaction)
--- a/test/decisions/execution/group-executor.test.ts
+++ b/test/decisions/execution/group-executor.test.ts
@@ -6,7 +6,7 @@
 import type { ResultName } from '../../../src/types/result-code.js'
 import { milliseconds } from '../../../src/types/clock.js'
 import { keyId, transactionId } from '../../../src/types/ids.js'
-import { createExecutorHarness, manifestWith, PRIMARY, REPLICA, SELF, OTHER, READ, WRITE, BEGIN, failed, refusal, isSuccess, type ExecutorHarness } from './executor-harness.js'
+import { createExecutorHarness, AT, manifestWith, PRIMARY, REPLICA, SELF, OTHER, READ, WRITE, BEGIN, failed, refusal, isSuccess, type ExecutorHarness } from './executor-harness.js'
 import { createSimpleQueue } from './simple-request-queue.js'
 
 const arrivalFaults: { fault: string, prepare: (harness: ExecutorHarness) => void, operation?: Operation, key?: string | null, expected: ResultName }[] = [
@@ -143,3 +143,15 @@
   const harness = createExecutorHarness()
   t.same(refusal(harness, harness.execute(WRITE, { remainingMs: 0 })), { name: 'deadlineExceeded', outcome: 'not-run' })
 })
+
+t.test('a queued request whose deadline passed between two ticks is not sent when a slot becomes free', async (t) => {
+  const harness = createExecutorHarness()
+  harness.setShare({ slots: 1, connections: 6 })
+  harness.execute(WRITE)
+  const { connection } = harness.lastRun()
+  const late = harness.execute(WRITE, { remainingMs: 30 })
+  harness.setNow(1031)
+  harness.finish(connection, { position: AT })
+  t.same(refusal(harness, late), { name: 'deadlineExceeded', outcome: 'not-run' })
+  t.equal(harness.runs().length, 1)
+})
--- a/test/decisions/execution/transactions.test.ts
+++ b/test/decisions/execution/transactions.test.ts
@@ -160,3 +160,15 @@
   harness.execute({ kind: 'commit', transaction })
   t.equal(harness.lastRun().operation.kind, 'commit')
 })
+
+t.test('an open transaction holds up a switchover for 1 s at most', async (t) => {
+  const harness = createExecutorHarness()
+  const transaction = harness.begin()
+  harness.setGroup({ phase: 'switching' })
+  harness.advance(1000)
+  t.same(harness.executor.releasedTerms(), [], 'it may still commit')
+  harness.useTransaction()
+  harness.advance(50)
+  t.equal(harness.executor.releasedTerms()[0]?.term, 1)
+  t.same(refusal(harness, harness.execute({ kind: 'commit', transaction })), { name: 'transactionAborted', outcome: 'not-run' })
+})
