consensus: remove learners that do not answer, forget requests of members

A member that asked for the leader before its folder was lost stayed noted as a request to join. After its removal the leader added it again as a learner, which then never answered and stayed. Requests of known members are no longer noted, and a learner that is silent for 5 s is removed; it can ask to join again.

--- a/src/decisions/consensus/consensus-options.ts
+++ b/src/decisions/consensus/consensus-options.ts
@@ -25,6 +25,8 @@
   heartbeatMs?: number
   /** Time between probes of a member that hears no leader, and after which an unanswered snapshot is sent again. Default 500. */
   probeMs?: number
+  /** Time after which a learner that does not answer is removed; it can join again. Default 5000. */
+  learnerTimeoutMs?: number
   /** Applied entries after which a snapshot replaces the log. Default 512. */
   snapshotThreshold?: number
   /** Largest number of entries in one append message. Default 64. */
@@ -40,6 +42,7 @@
     electionTimeoutMaxMs: 600,
     heartbeatMs: 75,
     probeMs: 500,
+    learnerTimeoutMs: 5000,
     snapshotThreshold: 512,
     entriesPerAppend: 64,
     ...options
--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -8,7 +8,7 @@
 import { createLeadershipConfirmation } from './leadership-confirmation.js'
 import type { EffectQueue, MemberCore } from './member-core.js'
 import { isMajority, postponeElection, requestHeader, voters } from './member-core.js'
-import type { JoinRequest } from './membership.js'
+import type { JoinRequest, LearnerCondition } from './membership.js'
 import { changeMembers, nextMembershipChange } from './membership.js'
 import { createReplicationProgress, majorityValue } from './replication-progress.js'
 
@@ -40,15 +40,14 @@
  */
 export function createLeader (core: MemberCore, effects: EffectQueue, stepDown: () => void): Leader {
   const { options, term } = { options: core.options, term: core.term }
-  const progress = createReplicationProgress(core.log.lastIndex() + 1)
+  const progress = createReplicationProgress(core.log.lastIndex() + 1, core.options.clock)
   const confirmations = createLeadershipConfirmation()
   const proposals = new Map<number, number>()
   const joins = new Map<MemberId, JoinRequest & { askedAt: Milliseconds }>()
-  const startedAt = options.clock.now()
   let leadershipIndex = 0
   let syncedIndex = core.log.lastIndex()
   let round = 0
-  let roundBeganAt = startedAt
+  let roundBeganAt = options.clock.now()
   let ended = false
 
   const peers = (): ControlMember[] => core.log.members().filter((member) => member.member !== core.self)
@@ -142,21 +141,23 @@
     effects.emit({ kind: 'proposal-result', proposal, result: ok(answer) })
   }
 
-  function isCaughtUp (member: MemberId): boolean {
+  function conditionOf (member: MemberId): LearnerCondition {
     const { matchIndex, heardAt } = progress.of(member)
-    return matchIndex >= core.commitIndex && heardAt !== null && options.clock.now() - heardAt < options.electionTimeoutMinMs
+    const silentForMs = options.clock.now() - heardAt
+    if (silentForMs >= options.learnerTimeoutMs) return 'silent'
+    return matchIndex >= core.commitIndex && silentForMs < options.electionTimeoutMinMs ? 'caught-up' : 'behind'
   }
 
   function changeMembership (): void {
     // Two memberships that both lack a commit need not share a majority, and neither need those of two leaders.
     if (!isEstablished() || core.log.membershipIndex() > core.commitIndex) return
     const members = core.log.members()
-    const known = new Set(members.map((member) => member.member))
-    const open = [...joins.values()].filter((join) => !known.has(join.member))
-    const change = nextMembershipChange(members, open, isCaughtUp)
+    const change = nextMembershipChange(members, [...joins.values()], conditionOf)
     const cluster = core.log.cluster()
     if (change === null || cluster === null) return
     appendEntry({ kind: 'membership', cluster, members: changeMembers(members, change) })
+    joins.delete(change.member.member)
+    if (change.kind === 'remove') progress.forget(change.member.member)
     const event = change.kind === 'remove' ? 'memberRemoved' : 'memberAdded'
     effects.log(event, { member: change.member.member, address: change.member.address, role: change.member.role })
     replicate()
@@ -170,8 +171,7 @@
 
   function hearsMajority (now: Milliseconds): boolean {
     return isMajority(core, (member) => {
-      const heardAt = progress.of(member).heardAt ?? startedAt
-      return member === core.self || now - heardAt < options.electionTimeoutMaxMs
+      return member === core.self || now - progress.of(member).heardAt < options.electionTimeoutMaxMs
     })
   }
 
@@ -199,7 +199,8 @@
   function handleProbe (message: Probe): void {
     const isConfigured = options.memberAddresses.includes(message.fromAddress) && message.fromAddress !== options.ownAddress
     const isForeign = message.cluster !== null && message.cluster !== core.log.cluster()
-    if (!isConfigured || isForeign) return
+    const isKnown = core.log.members().some((member) => member.member === message.from)
+    if (!isConfigured || isForeign || isKnown) return
     // One request for each address: the folder asked for last is the one in use.
     for (const join of joins.values()) {
       if (join.address === message.fromAddress) joins.delete(join.member)
--- a/src/decisions/consensus/membership.ts
+++ b/src/decisions/consensus/membership.ts
@@ -7,6 +7,9 @@
   address: Address
 }
 
+/** `silent`: has not answered for the learner timeout. */
+export type LearnerCondition = 'caught-up' | 'behind' | 'silent'
+
 /** A change of one member. Memberships that differ by one voter have majorities that overlap. */
 export type MembershipChange =
   | { kind: 'add-learner', member: ControlMember }
@@ -17,20 +20,25 @@
  * Chooses the next change of one member. A replaced member is removed only after its successor became a voter.
  * @param members - newest membership, all of it committed
  * @param joins - requests of members that are not in it
- * @param isCaughtUp - whether a learner has the leader's whole log and answers
+ * @param conditionOf - how a learner is doing
  * @returns null when nothing is to be changed
  */
-export function nextMembershipChange (members: readonly ControlMember[], joins: readonly JoinRequest[], isCaughtUp: (member: MemberId) => boolean): MembershipChange | null {
+export function nextMembershipChange (members: readonly ControlMember[], joins: readonly JoinRequest[], conditionOf: (member: MemberId) => LearnerCondition): MembershipChange | null {
   const replaced = members.find((member, position) => isReplaced(member, members.slice(position + 1)))
   if (replaced !== undefined) return { kind: 'remove', member: replaced }
 
-  const ready = members.find((member) => member.role === 'learner' && isCaughtUp(member.member))
+  // A late probe of a removed member can add it again. A learner that is alive asks to join once more.
+  const learners = members.filter((member) => member.role === 'learner')
+  const silent = learners.find((member) => conditionOf(member.member) === 'silent')
+  if (silent !== undefined) return { kind: 'remove', member: silent }
+
+  const ready = learners.find((member) => conditionOf(member.member) === 'caught-up')
   if (ready !== undefined) return { kind: 'add-voter', member: { ...ready, role: 'voter' } }
 
   const join = joins[0]
   if (join === undefined) return null
   // A learner whose folder was emptied before it became a voter counted for nothing.
-  const staleLearner = members.find((member) => member.role === 'learner' && member.address === join.address)
+  const staleLearner = learners.find((member) => member.address === join.address)
   if (staleLearner !== undefined) return { kind: 'remove', member: staleLearner }
   return { kind: 'add-learner', member: { ...join, role: 'learner' } }
 }
--- a/src/decisions/consensus/replication-progress.ts
+++ b/src/decisions/consensus/replication-progress.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '../../types/clock.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { AppendAnswer } from '../../types/consensus-message.js'
 import type { MemberId } from '../../types/ids.js'
 
@@ -10,8 +10,8 @@
   matchIndex: number
   /** Newest heartbeat round that the member answered. */
   ackedRound: number
-  /** When the last answer arrived; null: none in this leadership. */
-  heardAt: Milliseconds | null
+  /** When the last answer arrived; before the first one, when the leader began to send. */
+  heardAt: Milliseconds
   /** When a snapshot was sent that is not answered yet. */
   snapshotSentAt: Milliseconds | null
 }
@@ -20,6 +20,8 @@
 export interface ReplicationProgress {
   /** @returns the progress of a member, which starts with the next entry of the leader's log */
   of: (member: MemberId) => MemberProgress
+  /** Forgets a removed member; it starts anew if it is added again. */
+  forget: (member: MemberId) => void
   /**
    * Takes an answer of the leader's own term.
    * @param now - time of its arrival
@@ -29,13 +31,13 @@
 }
 
 /** @param nextIndex - where replication starts */
-export function createReplicationProgress (nextIndex: number): ReplicationProgress {
+export function createReplicationProgress (nextIndex: number, clock: Clock): ReplicationProgress {
   const members = new Map<MemberId, MemberProgress>()
 
   function of (member: MemberId): MemberProgress {
     const known = members.get(member)
     if (known !== undefined) return known
-    const progress: MemberProgress = { nextIndex, matchIndex: 0, ackedRound: 0, heardAt: null, snapshotSentAt: null }
+    const progress: MemberProgress = { nextIndex, matchIndex: 0, ackedRound: 0, heardAt: clock.now(), snapshotSentAt: null }
     members.set(member, progress)
     return progress
   }
@@ -55,7 +57,7 @@
     progress.nextIndex = Math.min(Math.max(answer.nextIndex, progress.matchIndex + 1), lastIndex + 1)
   }
 
-  return { of, take }
+  return { of, take, forget: (member) => { members.delete(member) } }
 }
 
 /**
--- a/test/control/control-log-runner.test.ts
+++ b/test/control/control-log-runner.test.ts
@@ -89,7 +89,7 @@
   }
 
   const leaderOf = (members: RunningMember[]): RunningMember | undefined => members.find((member) => member.log.isLeader())
-  return { addresses, events, open, start, stop, until, settled, leaderOf }
+  return { parent, addresses, events, open, start, stop, until, settled, leaderOf }
 }
 
 t.test('a member of a cluster of one returns to the latest state after a restart with 2,000 changes', async (t) => {
@@ -142,6 +142,18 @@
   t.same(unknown._unsafeUnwrapErr(), { kind: 'unknown' }, 'no majority is left')
 })
 
+t.test('a member that can not write its folder any more stops, as nothing it promises would last', async (t) => {
+  const cluster = await createMembers(t, 1)
+  const member = await cluster.start(0)
+  await cluster.until('it leads', member.log.isLeader)
+  await rm(cluster.parent, { recursive: true })
+  // The open log file still takes entries; the snapshot needs the folder.
+  await cluster.settled(Promise.all(Array.from({ length: 100 }, (_, base) => member.log.propose(manifestCommand(base, `content ${base}`)))))
+  await cluster.until('the failure is reported', () => cluster.events.includes('failed'))
+  t.notOk(member.log.isLeader())
+  t.same((await member.log.propose(manifestCommand(100, 'a')))._unsafeUnwrapErr(), { kind: 'not-leader', leaderAddress: null })
+})
+
 t.test('settings that do not name the own address once are refused', async (t) => {
   const cluster = await createMembers(t, 2)
   const [first, second] = cluster.addresses as [Address, Address]
