limits: bound the leader's work in large fleets and move slots only for a notable need

Reports now walk them only when they acknowledge a reduction, and resources with many members are divided again at longer intervals. Queue lengths that fluctuate no longer move a slot to and fro.

--- a/src/decisions/limits/resource-shares.ts
+++ b/src/decisions/limits/resource-shares.ts
@@ -41,8 +41,8 @@
   account: ShareAccount
   eligible: boolean
   member: DivisionMember
-  current: ShareAmount
-  most: ShareAmount
+  current: Readonly<ShareAmount>
+  most: Readonly<ShareAmount>
 }
 
 interface Target extends ShareAmount {
@@ -82,11 +82,19 @@
   })
 }
 
+/** Units that an instance must be short of its exact part by; fluctuating queues would otherwise move units to and fro. */
+const notableUnits = 0.75
+
 function wholeTargets (participants: readonly Participant[], units: number): Target[] {
-  const parts = divideWhole(units, participants.map(({ member }) => member), participants.map(({ current }) => current.amount))
+  const members = participants.map(({ member }) => member)
+  const parts = divideWhole(units, members, participants.map(({ current }) => current.amount))
+  const demand = members.reduce((sum, member) => sum + member.demand, 0)
+  const exactRatio = demand > units ? units / demand : 1
   return participants.map(({ member, current }, index) => {
     const amount = parts[index] as number
-    return { amount, burst: 0, needy: current.amount < Math.min(amount, Math.ceil(member.demand)) }
+    const isShort = current.amount < Math.min(amount, Math.ceil(member.demand))
+    const isNotable = current.amount === 0 || member.demand * exactRatio >= current.amount + notableUnits
+    return { amount, burst: 0, needy: isShort && isNotable }
   })
 }
 
@@ -155,17 +163,17 @@
     const passed = tokens[index] as number
     const unsentRaise = account.client !== reporter && isWanting(index) && amounts.free > ((targets[index] as Target).amount - current.amount) * worthAskingRatio
     if (unsentRaise && now - account.askedAt >= askGapMs) {
-      account.urgent = true
+      account.client.urgent = true
       account.askedAt = now
     }
     if (share.amount === current.amount && share.burst === current.burst && passed === 0) return
-    issueGrant(account, share, passed, nextGrant(), now)
     const givesUp = share.amount < current.amount || share.burst < current.burst
+    issueGrant(account, share, passed, nextGrant(), now)
     if (givesUp) account.reducedAt = now
     // The reporter gets its share with the answer that follows.
     if (account.client === reporter) return
     if (givesUp) shares.reducedAt = now
-    account.urgent ||= givesUp && (wanting || overcommitted || !eligible)
+    account.client.urgent ||= givesUp && (wanting || overcommitted || !eligible)
   })
   recountReserve(shares, now)
 }
--- a/src/decisions/limits/share-account.ts
+++ b/src/decisions/limits/share-account.ts
@@ -18,6 +18,8 @@
   /** Requests for a heartbeat that were sent lately, as the time that they take at the permitted rate. */
   askedUntil: Milliseconds
   accounts: Map<ResourceId, ShareAccount>
+  /** Whether the instance should be asked for a heartbeat because its share changes. */
+  urgent: boolean
 }
 
 interface IssuedGrant extends ShareAmount {
@@ -34,8 +36,6 @@
   client: ShareClient
   /** Grants that the instance may hold, oldest first; the last one is in force. */
   grants: IssuedGrant[]
-  /** Whether the instance should be asked for a heartbeat because of the last grant. */
-  urgent: boolean
   /** When the instance was asked last because its share can be raised. */
   askedAt: Milliseconds
   /** When its share was reduced last. */
@@ -45,12 +45,14 @@
 const nothing: ShareAmount = { amount: 0, burst: 0 }
 
 /** @returns the share in force */
-export function currentShare (account: ShareAccount): ShareAmount {
+export function currentShare (account: ShareAccount): Readonly<ShareAmount> {
   return account.grants.at(-1) ?? nothing
 }
 
 /** @returns the most that the instance may hold, whatever messages were lost */
-export function mostHeld (account: ShareAccount): ShareAmount {
+export function mostHeld (account: ShareAccount): Readonly<ShareAmount> {
+  const [first] = account.grants
+  if (first !== undefined && account.grants.length === 1) return first
   const most = { amount: 0, burst: 0 }
   for (const { amount, burst } of account.grants) {
     most.amount = Math.max(most.amount, amount)
@@ -76,12 +78,15 @@
   account.grants = [{ amount: held.amount, burst: held.burst, grant: held.grant, tokens: 0, sent: true, expiresAt }]
 }
 
-/** @returns tokens given back, when the report acknowledges a grant for the first time; otherwise null */
-export function acknowledgeGrant (account: ShareAccount, held: HeldShare): number | null {
-  const index = account.grants.findIndex(({ grant, sent }) => sent && grant === held.grant)
-  if (index <= 0) return null
+/** @returns whether a report shows that an earlier grant is no longer held */
+export function acknowledges (account: ShareAccount, held: HeldShare): boolean {
+  return account.grants.findIndex(({ grant, sent }) => sent && grant === held.grant) > 0
+}
+
+/** Drops the grants before the reported one. @returns tokens given back */
+export function acknowledgeGrant (account: ShareAccount, held: HeldShare): number {
   const before = mostHeld(account).burst
-  account.grants.splice(0, index)
+  account.grants = account.grants.slice(account.grants.findIndex(({ grant }) => grant === held.grant))
   return Math.max(0, Math.min(held.returnedTokens, before - mostHeld(account).burst))
 }
 
@@ -99,7 +104,6 @@
   if (last === undefined) return null
   last.sent = true
   last.expiresAt = addTime(now, leaderShareLeaseMs)
-  account.urgent = false
   return { resource, amount: last.amount, burst: last.burst, grant: last.grant, tokens: last.tokens }
 }
 
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -6,7 +6,7 @@
 import type { ResourceShares } from './resource-shares.js'
 import { fillReserve, newResourceShares, rebalance, recountReserve } from './resource-shares.js'
 import type { ShareAccount, ShareClient } from './share-account.js'
-import { acknowledgeGrant, adoptShare, currentShare, expireGrants, isEmptyAccount, renewGrant } from './share-account.js'
+import { acknowledgeGrant, acknowledges, adoptShare, currentShare, expireGrants, isEmptyAccount, renewGrant } from './share-account.js'
 import type { ShareAllocatorOptions } from './share-allocator-options.js'
 import { resolveShareAllocatorOptions } from './share-allocator-options.js'
 import { leaderShareLeaseMs } from './share-lease.js'
@@ -18,6 +18,12 @@
 const asksPerSecond = 10
 const maxSavedAsks = 20
 
+/** Time between searches for shares of resources with many members that ran out, in milliseconds. */
+const largeScanGapMs = 500
+
+/** Time per member between divisions of a resource with many members, in milliseconds; bounds the leader's work in large fleets. */
+const balanceMsPerMember = 0.7
+
 /** While a need is unfilled, the division is repeated without a report, since instances may have become unresponsive. */
 const replanAfterMs = 250
 
@@ -31,6 +37,7 @@
   let leaderTerm = 0
   let grantsBegin = Infinity as Milliseconds
   let grantCounter = 0
+  let scannedAt = milliseconds(-Infinity)
 
   const nextGrant = (): number => leaderTerm * grantsPerTerm + ++grantCounter
 
@@ -99,13 +106,13 @@
 
   function newClient (report: ShareReport): ShareClient {
     const { instance, incarnation } = report
-    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), askedUntil: clock.now(), accounts: new Map() }
+    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), askedUntil: clock.now(), accounts: new Map(), urgent: false }
   }
 
   function accountOf (client: ShareClient, shares: ResourceShares): ShareAccount {
     const known = client.accounts.get(shares.resource)
     if (known !== undefined) return known
-    const account: ShareAccount = { client, grants: [], urgent: false, askedAt: milliseconds(-Infinity), reducedAt: milliseconds(-Infinity) }
+    const account: ShareAccount = { client, grants: [], askedAt: milliseconds(-Infinity), reducedAt: milliseconds(-Infinity) }
     client.accounts.set(shares.resource, account)
     shares.accounts.add(account)
     return account
@@ -116,9 +123,9 @@
     const account = client.accounts.get(held.resource)
     if (account !== undefined && account.grants.length > 0) {
       if (shares === undefined) return
+      if (!acknowledges(account, held)) return
       fillReserve(shares, clock.now())
       const returned = acknowledgeGrant(account, held)
-      if (returned === null) return
       shares.tokens += returned
       if (clock.now() >= grantsBegin) recountReserve(shares, clock.now())
       shares.dirty = true
@@ -183,11 +190,16 @@
     rebalance(shares, now, isResponsive, nextGrant, reporter, shares.accounts.size > immediateMembers)
   }
 
+  function balanceGapMs ({ accounts }: ResourceShares): number {
+    return accounts.size > immediateMembers ? accounts.size * balanceMsPerMember : 0
+  }
+
   function renew (instance: InstanceId, incarnation: IncarnationId): GrantedShare[] {
     const client = clients.get(instance)
     if (client === undefined || client.incarnation !== incarnation || !client.termKnown) return []
     const now = clock.now()
     const granted: GrantedShare[] = []
+    client.urgent = false
     for (const [resource, account] of client.accounts) {
       const share = renewGrant(account, resource, now)
       if (share !== null) granted.push(share)
@@ -200,8 +212,8 @@
     const changed: InstanceId[] = []
     for (const client of clients.values()) {
       const mayAsk = client.askedUntil - now <= maxSavedAsks * 1000 / asksPerSecond
-      if (!mayAsk || ![...client.accounts.values()].some((account) => account.urgent)) continue
-      for (const account of client.accounts.values()) account.urgent = false
+      if (!client.urgent || !mayAsk) continue
+      client.urgent = false
       client.askedUntil = addTime(milliseconds(Math.max(client.askedUntil, now)), 1000 / asksPerSecond)
       changed.push(client.instance)
     }
@@ -242,11 +254,15 @@
   function tick (): void {
     const now = clock.now()
     if (now < grantsBegin) return
+    const scansLarge = now - scannedAt >= largeScanGapMs
     for (const shares of [...resources.values()]) {
-      expire(shares)
-      const overdue = shares.unsettled && now - shares.balancedAt >= replanAfterMs
-      if (shares.dirty || overdue) redistribute(shares, null)
+      if (scansLarge || shares.accounts.size <= immediateMembers) expire(shares)
+      const sinceBalance = now - shares.balancedAt
+      const overdue = shares.unsettled && sinceBalance >= replanAfterMs
+      if ((shares.dirty || overdue) && sinceBalance >= balanceGapMs(shares)) redistribute(shares, null)
     }
+    if (!scansLarge) return
+    scannedAt = now
     forgetClients()
   }
 
