--- a/src/decisions/limits/share-holder.ts
+++ b/src/decisions/limits/share-holder.ts
@@ -156,14 +156,18 @@
       if (waiting && acknowledge(resource, record)) acknowledgementDue = true
     }
     if (lapsed) publish()
-    if (!acknowledgementDue && !requests.shouldAsk(readDemands())) return []
+    if (!acknowledgementDue) return askIfDue()
     acknowledgementDue = false
     return [{ kind: 'send-heartbeat' }]
   }
 
+  function askIfDue (): SendHeartbeat[] {
+    return requests.shouldAsk(readDemands) ? [{ kind: 'send-heartbeat' }] : []
+  }
+
   function handle (message: ShareHolderMessage): SendHeartbeat[] {
     if (message.kind === 'heartbeat-answer') return applyAnswer(message.answer)
-    return tick()
+    return askIfDue()
   }
 
   return { handle, tick, composeHeartbeat }
--- a/src/decisions/limits/share-requests.ts
+++ b/src/decisions/limits/share-requests.ts
@@ -5,8 +5,11 @@
 
 /** Decides when unmet demand is worth an extra heartbeat. */
 export interface ShareRequests {
-  /** @returns whether an extra heartbeat should be sent now; takes it from the budget */
-  shouldAsk: (demands: readonly DemandReport[]) => boolean
+  /**
+   * @param readDemands - called only when an extra heartbeat is permitted now
+   * @returns whether an extra heartbeat should be sent now; takes it from the budget
+   */
+  shouldAsk: (readDemands: () => readonly DemandReport[]) => boolean
   /** Notes that a heartbeat carries these demands. */
   noteSent: (demands: readonly DemandReport[]) => void
 }
@@ -48,12 +51,12 @@
     return last.times < maxRepeats && clock.now() - last.askedAt >= repeatAfterMs
   }
 
-  function shouldAsk (demands: readonly DemandReport[]): boolean {
+  function shouldAsk (readDemands: () => readonly DemandReport[]): boolean {
     const now = clock.now()
     savedAsks = Math.min(askBurst, savedAsks + (now - countedAt) * asksPerSecond / 1000)
     countedAt = now
     if (now - lastSentAt < askGapMs || savedAsks < 1) return false
-    if (!demands.some(isNews)) return false
+    if (!readDemands().some(isNews)) return false
     savedAsks--
     return true
   }
--- a/src/decisions/limits/workspace-limiter.ts
+++ b/src/decisions/limits/workspace-limiter.ts
@@ -19,7 +19,10 @@
 
 export type LimiterEffect =
   | { kind: 'admitted', requestId: RequestId, waitedMs: number }
-  /** `wrongful`: as far as this instance can know, the rate of the workspace is not used up. */
+  /**
+   * `wrongful`: the leader has not answered to the demand yet, and the demand here is within the rate of the workspace.
+   * The count is a lower bound, since one instance can't see that others leave rate unused.
+   */
   | { kind: 'refused', requestId: RequestId, workspace: WorkspaceId, refusal: Refusal, wrongful: boolean }
   /** Demand exceeds the share; tell the share holder that demand changed. */
   | { kind: 'ask-for-share' }
