coordinator: a barrier command that the other members accept

Members check consensus messages on arrival now and refuse an empty name. The barrier of a new leader used an empty group name, so no majority acknowledged anything after it. It is named now, and a test passes it through that check. The control log reports elections itself; the coordinator no longer repeats it.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -101,7 +101,6 @@
     for (const part of [instances, databases, weights, assignment, builder, failover, lost, connections]) part.reset()
     sharesAreStale = true
     allocator.becomeLeader(term)
-    logEvent('leaderElected', { term })
   }
 
   function established (): void {
@@ -111,7 +110,6 @@
 
   function leadershipEnded (): void {
     builder.reset()
-    logEvent('leadershipLost')
     for (const { name } of connections.all()) refer(name)
   }
 
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -6,8 +6,11 @@
 import { createLeadershipRounds } from './leadership-rounds.js'
 import type { LeadershipRounds } from './leadership-rounds.js'
 
-/** A command that the log always refuses, since terms begin at 1. It resolves once all earlier entries are applied here. */
-const BARRIER_COMMAND = { kind: 'begin-election', group: groupId(''), term: 0 } as const
+/**
+ * A command that the log always refuses, since terms begin at 1. It resolves once all earlier entries are applied here.
+ * Members check messages on arrival and take no empty name.
+ */
+const BARRIER_COMMAND = { kind: 'begin-election', group: groupId('barrier'), term: 0 } as const
 
 export interface LeadershipOptions<Item> {
   blackboard: Blackboard
--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -1,13 +1,14 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import t from 'tap'
+import { checkConsensusMessage } from '../../src/control/consensus-message-schema.js'
 import { createCoordinator } from '../../src/control/coordinator.js'
 import { milliseconds } from '../../src/types/clock.js'
 import type { ControlLogFailure } from '../../src/types/control-log.js'
 import type { ControlToEntry } from '../../src/types/control-message.js'
 import { address, groupId, instanceId } from '../../src/types/ids.js'
 import type { ResourceId } from '../../src/types/ids.js'
-import type { ReplicatedState } from '../../src/types/replicated-state.js'
+import type { Command, ReplicatedState } from '../../src/types/replicated-state.js'
 import type { ResourceSize } from '../../src/types/share-allocator.js'
 import { announcementOf, heartbeatOf, statusOf } from '../decisions/membership/fixtures/messages.js'
 import { createStubAllocator } from './fixtures/world.js'
@@ -29,6 +30,7 @@
   let state = stateOf(1)
   let notify = () => {}
   const confirmations: Confirmation[] = []
+  const proposed: Command[] = []
   const sent: ControlToEntry[] = []
   const renewed: string[] = []
   const changed: string[] = []
@@ -53,7 +55,10 @@
       leaderAddress: () => leading ? null : address('other:1'),
       term: () => 7,
       state: () => state,
-      propose: async () => ok({ kind: 'group-conflict', group: { group: groupId(''), term: 0, primary: null, phase: 'serving' } }),
+      propose: async (command) => {
+        proposed.push(command)
+        return ok({ kind: 'group-conflict', group: { group: groupId(''), term: 0, primary: null, phase: 'serving' } })
+      },
       confirmLeadership: () => new Promise((resolve) => { confirmations.push(resolve) }),
       onChange: (listener) => { notify = listener }
     }
@@ -62,6 +67,7 @@
   return {
     coordinator,
     confirmations,
+    proposed,
     renewed,
     resources: () => resources,
     change: (instance: string) => changed.push(instance),
@@ -114,6 +120,16 @@
   })
 }
 
+t.test('the barrier of a new leader passes the checks of the other members, or the log would stop', async (t) => {
+  const { proposed } = await startCoordinator()
+  const entries = proposed.map((command) => ({ index: 1, term: 1, payload: { kind: 'command', command } }))
+  t.equal(entries.length, 1)
+  const names = { cluster: 'c', from: 'a', fromAddress: 'a:1', to: 'b', entryAddress: 'a:2' }
+  const append = { ...names, version: 1, kind: 'append', term: 1, round: 1, previousIndex: 0, previousTerm: 0, commitIndex: 0 }
+  t.not(checkConsensusMessage({ ...append, entries }), null)
+  t.equal(checkConsensusMessage({ ...append, entries: [{ index: 1 }] }), null, 'the check refuses what is malformed')
+})
+
 t.test('a deposed leader refers its instances to the new one at once and does not answer a round that ends later', async (t) => {
   const { coordinator, confirmations, depose, take } = await startCoordinator()
   coordinator.handle('c', heartbeatOf(1))
