--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -190,8 +190,8 @@
   function handleAppendAnswer (message: AppendAnswer): void {
     const peer = peers().find((member) => member.member === message.from)
     if (message.term !== term || peer === undefined) return
-    progress.take(message, options.clock.now(), core.log.lastIndex())
-    if (progress.of(peer.member).nextIndex <= core.log.lastIndex()) replicateTo(peer)
+    const continuesNow = progress.take(message, options.clock.now(), core.log.lastIndex())
+    if (continuesNow) replicateTo(peer)
     commitByCounting()
     settleConfirmations()
   }
--- a/src/decisions/consensus/replication-progress.ts
+++ b/src/decisions/consensus/replication-progress.ts
@@ -12,6 +12,8 @@
   ackedRound: number
   /** When the last answer arrived; before the first one, when the leader began to send. */
   heardAt: Milliseconds
+  /** Newest round in which the member refused an append. */
+  refusedRound: number
   /** When a snapshot was sent that is not answered yet. */
   snapshotSentAt: Milliseconds | null
 }
@@ -26,8 +28,9 @@
    * Takes an answer of the leader's own term.
    * @param now - time of its arrival
    * @param lastIndex - last entry of the leader's log
+   * @returns whether to send to the member at once, before the next heartbeat
    */
-  take: (answer: AppendAnswer, now: Milliseconds, lastIndex: number) => void
+  take: (answer: AppendAnswer, now: Milliseconds, lastIndex: number) => boolean
 }
 
 /** @param nextIndex - where replication starts */
@@ -37,12 +40,12 @@
   function of (member: MemberId): MemberProgress {
     const known = members.get(member)
     if (known !== undefined) return known
-    const progress: MemberProgress = { nextIndex, matchIndex: 0, ackedRound: 0, heardAt: clock.now(), snapshotSentAt: null }
+    const progress: MemberProgress = { nextIndex, matchIndex: 0, ackedRound: 0, refusedRound: 0, heardAt: clock.now(), snapshotSentAt: null }
     members.set(member, progress)
     return progress
   }
 
-  function take (answer: AppendAnswer, now: Milliseconds, lastIndex: number): void {
+  function take (answer: AppendAnswer, now: Milliseconds, lastIndex: number): boolean {
     const progress = of(answer.from)
     progress.heardAt = now
     progress.ackedRound = Math.max(progress.ackedRound, answer.round)
@@ -50,11 +53,15 @@
       if (answer.matchIndex >= progress.matchIndex) progress.snapshotSentAt = null
       progress.matchIndex = Math.max(progress.matchIndex, answer.matchIndex)
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1)
-      return
+      return progress.nextIndex <= lastIndex
     }
     // Heartbeats are refused while a snapshot is on its way.
-    if (progress.snapshotSentAt !== null) return
+    if (progress.snapshotSentAt !== null) return false
     progress.nextIndex = Math.min(Math.max(answer.nextIndex, progress.matchIndex + 1), lastIndex + 1)
+    // Sending at once for every refusal would multiply the messages on a network that repeats them.
+    const isFirstOfRound = answer.round > progress.refusedRound
+    progress.refusedRound = Math.max(progress.refusedRound, answer.round)
+    return isFirstOfRound
   }
 
   return { of, take, forget: (member) => { members.delete(member) } }
--- a/test/decisions/consensus/replication.test.ts
+++ b/test/decisions/consensus/replication.test.ts
@@ -78,6 +78,19 @@
   t.equal(member.view().commitIndex, 4)
 })
 
+t.test('repeated refusals and those during a snapshot transfer bring no further messages, as they would multiply', async (t) => {
+  const snapshot = { index: 4, term: 1, cluster, members: voters, state: emptyReplicatedState() }
+  const member = createSingleMember({ snapshot })
+  const { term } = member.lead()
+  const sentAfter = (round: number, nextIndex: number) => member.receive(appendAnswer(2, term, { round, accepted: false, nextIndex })).length
+  t.equal(sentAfter(1, 5), 1, 'the entry after the snapshot is sent again')
+  t.equal(sentAfter(1, 5), 0, 'once a round')
+  member.wait(75)
+  t.equal(sentAfter(2, 1), 2, 'the snapshot and a heartbeat')
+  member.wait(75)
+  t.equal(sentAfter(3, 1), 0, 'the snapshot is on its way')
+})
+
 t.test('the leader counts its own entry only after its sync', async (t) => {
   const member = createSingleMember({ entries: logOfTerms([]) })
   const { term } = member.lead()
