limits: give a joining instance a part before it has demand

An instance that joined while all share was out held nothing until its first request had waited for a heartbeat. The division is split into short steps.

--- a/src/decisions/limits/resource-shares.ts
+++ b/src/decisions/limits/resource-shares.ts
@@ -7,7 +7,7 @@
 import { burstReserveRatio, divideBurst, divideRate, rateReserveRatio } from './rate-division.js'
 import type { ShareAccount, ShareClient } from './share-account.js'
 import { currentShare, issueGrant, mostHeld } from './share-account.js'
-import type { PlanMember } from './share-plan.js'
+import type { PlanMember, SharePlan } from './share-plan.js'
 import { planShares } from './share-plan.js'
 import { divideWhole } from './whole-division.js'
 
@@ -75,7 +75,7 @@
   return participants.map(({ member, current }, index) => {
     const amount = parts[index] as number
     const targetBurst = bursts[index] as number
-    const lacksToken = member.demand > 0 && targetBurst >= 1 && current.burst < 1
+    const lacksToken = targetBurst >= 1 && current.burst < 1
     const wanted = Math.min(amount, member.demand)
     const lacksRate = current.amount < needyRatio * wanted
     return { amount, burst: targetBurst, needy: lacksRate || lacksToken }
@@ -113,17 +113,28 @@
   })
 }
 
-/**
- * Divides a resource again and issues the grants that follow.
- * @param isResponsive - whether an instance reported lately; the share of another one is left with it until it runs out
- * @param nextGrant - numbers a grant
- * @param reporter - the instance whose heartbeat is being answered, if any; only its share is raised
- * @param raiseAll - whether shares are raised without a reporter; they then wait for the next heartbeats
- */
-export function rebalance (shares: ResourceShares, now: Milliseconds, isResponsive: (account: ShareAccount) => boolean, nextGrant: () => number, reporter: ShareClient | null, raiseAll: boolean): void {
-  fillReserve(shares, now)
-  shares.dirty = false
-  shares.balancedAt = now
+/** What a division depends on besides the resource. */
+export interface DivisionContext {
+  now: Milliseconds
+  /** Whether an instance reported lately. The share of another one is left with it until it runs out. */
+  isResponsive: (account: ShareAccount) => boolean
+  /** Numbers a grant. */
+  nextGrant: () => number
+  /** The instance whose heartbeat is being answered, if any; only its share is raised. */
+  reporter: ShareClient | null
+  /** Whether shares are raised without a reporter; they then wait for the next heartbeats. */
+  raiseAll: boolean
+}
+
+interface Division {
+  participants: Participant[]
+  targets: Target[]
+  amounts: SharePlan
+  bursts: SharePlan
+}
+
+/** Separates the instances that take part from what others may still hold. */
+function collectParticipants (shares: ResourceShares, isResponsive: (account: ShareAccount) => boolean): { participants: Participant[], total: ShareAmount } {
   const { size, resource } = shares
   const participants: Participant[] = []
   const total = { amount: size?.amount ?? 0, burst: size?.burst ?? 0 }
@@ -136,46 +147,74 @@
     total.amount -= held.amount
     total.burst -= held.burst
   }
-  const whole = size?.whole ?? true
-  const amount = Math.max(0, total.amount)
-  const burst = Math.max(0, total.burst)
-  const rateReserve = whole ? 0 : amount * rateReserveRatio
-  const burstReserve = whole ? 0 : burst * burstReserveRatio
-  const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount - rateReserve, burst - burstReserve)
-  const isAnswered = (account: ShareAccount) => reporter === null ? raiseAll : account.client === reporter
-  const mayReduce = (account: ShareAccount) => account.client === reporter
+  return { participants, total: { amount: Math.max(0, total.amount), burst: Math.max(0, total.burst) } }
+}
+
+function divide (shares: ResourceShares, { now, isResponsive, reporter, raiseAll }: DivisionContext): Division {
+  const { participants, total } = collectParticipants(shares, isResponsive)
+  const whole = shares.size?.whole ?? true
+  const amount = whole ? total.amount : total.amount * (1 - rateReserveRatio)
+  const burst = total.burst * (1 - burstReserveRatio)
+  const targets = whole ? wholeTargets(participants, amount) : rateTargets(participants, amount, burst)
+  const isAnswered = (account: ShareAccount): boolean => reporter === null ? raiseAll : account.client === reporter
+  const mayReduce = (account: ShareAccount): boolean => account.client === reporter
     ? now - account.reducedAt >= repeatedReductionGapMs
     : now - shares.reducedAt >= reductionGapMs
-  const amounts = planShares(planMembers(participants, targets, 'amount', isAnswered, mayReduce), amount - rateReserve, whole)
-  const bursts = planShares(planMembers(participants, targets, 'burst', isAnswered, mayReduce), burst - burstReserve, false)
-  shares.unsettled = amounts.unsettled || bursts.unsettled
-  const overcommitted = amounts.overcommitted || bursts.overcommitted
-  const isWanting = (index: number): boolean => {
-    const { member, current } = participants[index] as Participant
-    return (targets[index] as Target).needy && current.amount < member.demand * needyRatio
-  }
-  const wanting = participants.some((_, index) => isWanting(index))
+  const amounts = planShares(planMembers(participants, targets, 'amount', isAnswered, mayReduce), amount, whole)
+  const bursts = planShares(planMembers(participants, targets, 'burst', isAnswered, mayReduce), burst, false)
+  return { participants, targets, amounts, bursts }
+}
+
+/** Whether demand exceeds the share by so much that other instances are to be asked for a heartbeat. */
+function isWanting ({ member, current }: Participant, { needy }: Target): boolean {
+  return needy && current.amount < member.demand * needyRatio
+}
+
+/** Asks instances for a heartbeat whose shares can be raised now. */
+function askForReports ({ participants, targets, amounts }: Division, { now, reporter }: DivisionContext): void {
+  participants.forEach((participant, index) => {
+    const { account, current } = participant
+    const target = targets[index] as Target
+    if (account.client === reporter || !isWanting(participant, target)) return
+    const isWorth = amounts.free > (target.amount - current.amount) * worthAskingRatio
+    if (!isWorth || now - account.askedAt < askGapMs) return
+    account.client.urgent = true
+    account.askedAt = now
+  })
+}
+
+function issueGrants (shares: ResourceShares, division: Division, { now, nextGrant, reporter }: DivisionContext): void {
+  const { participants, targets, amounts, bursts } = division
+  const isPressing = amounts.overcommitted || bursts.overcommitted ||
+    participants.some((participant, index) => isWanting(participant, targets[index] as Target))
   const next = participants.map((_, index) => ({ amount: amounts.next[index] as number, burst: bursts.next[index] as number }))
   const tokens = passTokens(shares, participants, next, reporter)
 
   participants.forEach(({ account, current, eligible }, index) => {
     const share = next[index] as ShareAmount
     const passed = tokens[index] as number
-    const unsentRaise = account.client !== reporter && isWanting(index) && amounts.free > ((targets[index] as Target).amount - current.amount) * worthAskingRatio
-    if (unsentRaise && now - account.askedAt >= askGapMs) {
-      account.client.urgent = true
-      account.askedAt = now
-    }
     if (share.amount === current.amount && share.burst === current.burst && passed === 0) return
     const givesUp = share.amount < current.amount || share.burst < current.burst
     issueGrant(account, share, passed, nextGrant(), now)
-    if (givesUp) account.reducedAt = now
+    if (!givesUp) return
+    account.reducedAt = now
     // The reporter gets its share with the answer that follows.
     if (account.client === reporter) return
-    if (givesUp) shares.reducedAt = now
-    account.client.urgent ||= givesUp && (wanting || overcommitted || !eligible)
+    shares.reducedAt = now
+    account.client.urgent ||= isPressing || !eligible
   })
-  recountReserve(shares, now)
+}
+
+/** Divides a resource again and issues the grants that follow. */
+export function rebalance (shares: ResourceShares, context: DivisionContext): void {
+  fillReserve(shares, context.now)
+  shares.dirty = false
+  shares.balancedAt = context.now
+  const division = divide(shares, context)
+  shares.unsettled = division.amounts.unsettled || division.bursts.unsettled
+  askForReports(division, context)
+  issueGrants(shares, division, context)
+  recountReserve(shares, context.now)
 }
 
 /** Part of its need that must be free before an instance is asked for a heartbeat, which raises its share. */
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -187,7 +187,7 @@
   function redistribute (shares: ResourceShares, reporter: ShareClient | null): void {
     const now = clock.now()
     if (now < grantsBegin) return
-    rebalance(shares, now, isResponsive, nextGrant, reporter, shares.accounts.size > immediateMembers)
+    rebalance(shares, { now, isResponsive, nextGrant, reporter, raiseAll: shares.accounts.size > immediateMembers })
   }
 
   function balanceGapMs ({ accounts }: ResourceShares): number {
--- a/test/decisions/limits/share-allocator.test.ts
+++ b/test/decisions/limits/share-allocator.test.ts
@@ -174,6 +174,17 @@
   t.same(renew(leader, unheard).filter(({ amount }) => amount > 0), [], 'a report after the wait is not adopted')
 })
 
+t.test('an instance that joins gets a part before it has demand, so that it can serve its first request at once', async (t) => {
+  const busy = newMember('busy')
+  const joining = newMember('joining')
+  const leader = startLeader(busy)
+  settle(leader, [[busy, 80]])
+  settle(leader, [[joining, 0], [busy, 80]])
+  const burst = joining.held.find(({ resource }) => resource === rate)?.burst ?? 0
+  t.ok(burst >= 1, `a burst of ${burst}`)
+  t.ok(heldOf(joining, rate) > 0)
+})
+
 t.test('a draining instance gives back, and an instance that is no longer eligible gives up everything', async (t) => {
   const leaving = newMember('leaving')
   const staying = newMember('staying')
