membership: a new leader keeps holders that it can't recognize yet

A group whose databases had not announced themselves got a new holder, although the old ones reported its shares. It waits now until a database is known.

--- a/src/decisions/membership/holder-assignment.ts
+++ b/src/decisions/membership/holder-assignment.ts
@@ -65,11 +65,19 @@
     return current
   }
 
+  /** While a new leader learns, a group without a known database has holders that it can't recognize yet. */
+  function groupsToPlace (placement: PlacementMode): GroupId[] {
+    const groups = (state.read().manifest?.groups ?? []).map(({ id }) => id)
+    if (placement === 'full') return groups
+    const known = new Set([...databases.read().values()].map(({ announcement }) => announcement.group))
+    return groups.filter((group) => known.has(group))
+  }
+
   function tick (): GroupId[] {
     const placement = mode()
     if (placement === null || (placement === 'full' && !isStale)) return []
     const last = entry.read()
-    const groups = (state.read().manifest?.groups ?? []).map(({ id }) => id)
+    const groups = groupsToPlace(placement)
     const placed = placeHolders({ groups, candidates: candidates(), current: currentHolders(placement), mode: placement })
     const changed = [...placed.keys()].filter((group) => !isSame(placed.get(group), last.get(group)))
     // Balancing moves one holder of a group at a time, so that a changed placement may have a next step.
