--- a/test/control/coordinator-schedules.test.ts
+++ b/test/control/coordinator-schedules.test.ts
@@ -5,8 +5,9 @@
 import { createWorld, worldGroups } from './fixtures/world.js'
 import type { World } from './fixtures/world.js'
 
-const SEED = 20261204
-const RUNS = 30
+/** A longer search: `SCHEDULE_SEED=1 SCHEDULE_RUNS=300 TAP_TIMEOUT=0 node dist/test/control/coordinator-schedules.test.js`. */
+const SEED = Number(process.env['SCHEDULE_SEED'] ?? 20261204)
+const RUNS = Number(process.env['SCHEDULE_RUNS'] ?? 30)
 /** Time in which everything must be in service again after the last fault; it covers a switchover that was given up several times. */
 const RECOVERY_MS = 20_000
 
