--- a/src/adapters/http/send-outcome.ts
+++ b/src/adapters/http/send-outcome.ts
@@ -20,6 +20,7 @@
   if (outcome.kind === 'refusal') return sendRefusal(reply, outcome)
   if (sessionToken !== null) reply.header('catkinrelay-session', sessionToken)
   if (outcome.role !== null) reply.header('catkinrelay-served-by', outcome.role)
+  if (outcome.ageMs !== null) reply.header('catkinrelay-age-ms', Math.ceil(outcome.ageMs))
   const { rows, rowCount, transaction } = outcome
   return reply.send(transaction === null ? { rows, rowCount } : { rows, rowCount, transaction })
 }
--- a/src/decisions/execution/operation-completion.ts
+++ b/src/decisions/execution/operation-completion.ts
@@ -1,5 +1,5 @@
 import type { OperationDone, OperationFailed, OperationResult } from '../../types/database-operation.js'
-import type { ConnectionId } from '../../types/ids.js'
+import type { ConnectionId, DatabaseId } from '../../types/ids.js'
 import type { Refusal } from '../../types/outcome.js'
 import { finishOperation, type ExecutorParts } from './executor-parts.js'
 import type { RunningOperation } from './operation-runner.js'
@@ -59,7 +59,13 @@
   function finishRead (running: RunningOperation, done: OperationDone): void {
     const { connection, record } = running
     const role = parts.view.group()?.primary === connection.database ? 'primary' : 'replica'
-    requests.end(record, successOf(done, { database: connection.database, role, position: null, transaction: null }))
+    const ageMs = role === 'primary' ? 0 : replicaAge(connection.database)
+    requests.end(record, successOf(done, { database: connection.database, role, position: null, transaction: null, ...ageMs === null ? {} : { ageMs } }))
+  }
+
+  function replicaAge (database: DatabaseId): number | null {
+    const observed = parts.view.observed(database)
+    return observed === null ? null : observed.status.ageMs + (clock.now() - observed.observedAt)
   }
 
   function finishTransactionOperation (running: RunningOperation, done: OperationDone): void {
--- a/src/decisions/execution/operation-outcome.ts
+++ b/src/decisions/execution/operation-outcome.ts
@@ -49,8 +49,10 @@
   role: 'primary' | 'replica' | null
   position: LogPosition | null
   transaction: TransactionId | null
+  /** Default null. */
+  ageMs?: number
 }
 
 export function successOf (done: Pick<OperationDone, 'rows' | 'rowCount'>, source: ResultSource): Success {
-  return { kind: 'success', rows: done.rows, rowCount: done.rowCount, ...source }
+  return { kind: 'success', rows: done.rows, rowCount: done.rowCount, ageMs: null, ...source }
 }
--- a/src/entry/service-level-of.ts
+++ b/src/entry/service-level-of.ts
@@ -10,7 +10,7 @@
     workspace,
     refusal: isSuccess ? null : resultNameOf(outcome.code),
     durationMs,
-    ageMs: null,
+    ageMs: isSuccess ? outcome.ageMs : null,
     // The limiter judges its refusals; a queue fills only with requests that it admitted within the rate.
     withinRate: wrongful || isSuccess || resultNameOf(outcome.code) !== 'rateExceeded'
   }
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -18,6 +18,8 @@
   position: LogPosition | null
   database: DatabaseId | null
   role: 'primary' | 'replica' | null
+  /** How old the data of a read may be, in milliseconds; null when nothing was read outside a transaction. */
+  ageMs: number | null
   /** Set by `begin`. */
   transaction: TransactionId | null
 }
--- a/test/decisions/membership/new-leader.test.ts
+++ b/test/decisions/membership/new-leader.test.ts
@@ -8,6 +8,7 @@
 import { milliseconds } from '../../../src/types/clock.js'
 import { databaseId, failureDomainId, groupId, instanceId, resourceId } from '../../../src/types/ids.js'
 import { announcementOf, heartbeatOf, statusOf } from './fixtures/messages.js'
+import { emptyServiceLevels } from '../../../src/types/service-level.js'
 
 /** A new leader of group `g` with primary `a`; instances `x`, `y` and `z` attach, and `y` holds slots of database `b`. */
 function startLeader () {
@@ -17,7 +18,7 @@
   blackboard.claim(leadershipEntry, 'test').write({ term: 2, since: milliseconds(0) })
   const manifest = { formatVersion: 1 as const, failureDomains: [], groups: [{ id: groupId('g'), slots: 5, connections: 30 }], workspaces: [], routes: [] }
   const groups = [{ group: groupId('g'), term: 1, primary: databaseId('a'), phase: 'serving' as const }]
-  blackboard.claim(replicatedStateEntry, 'test').write({ manifestVersion: 1, manifest, acceptedDigests: [], groups })
+  blackboard.claim(replicatedStateEntry, 'test').write({ manifestVersion: 1, manifest, acceptedDigests: [], serviceLevels: emptyServiceLevels(), groups })
   const instances = createInstanceRegistry({ blackboard, clock })
   const databases = createDatabaseRegistry({ blackboard, clock })
   const assignment = createHolderAssignment({ blackboard, clock })
--- a/test/decisions/routing/request-dispatcher.property.test.ts
+++ b/test/decisions/routing/request-dispatcher.property.test.ts
@@ -32,7 +32,7 @@
   answered: boolean
 }
 
-const success: Outcome = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, transaction: null }
+const success: Outcome = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }
 const answers: Record<Fate, Outcome | null> = {
   runs: success,
   'runs-silently': null,
--- a/test/decisions/routing/request-dispatcher.test.ts
+++ b/test/decisions/routing/request-dispatcher.test.ts
@@ -9,7 +9,7 @@
 const READ: Operation = { kind: 'statement', statement: 'select 1', values: [], access: 'read' }
 const WRITE: Operation = { kind: 'statement', statement: 'update x', values: [], access: 'write' }
 const COMMIT: Operation = { kind: 'commit', transaction: transactionId(`${FIRST}.x`) }
-const SUCCESS: Success = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, transaction: null }
+const SUCCESS: Success = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }
 
 const refusalOf = (name: ResultName, outcome: RunState): Outcome => refuse(name, outcome, 'test')
 
