consensus: test the first entry of a leader apart from its membership

The case for membership changes passed without the rule that a leader first commits an entry of its own, because the membership entry was uncommitted too.

--- a/test/decisions/consensus/membership.test.ts
+++ b/test/decisions/consensus/membership.test.ts
@@ -1,10 +1,11 @@
 import t from 'tap'
+import { emptyReplicatedState } from '../../../src/decisions/manifest/apply-command.js'
 import type { MembershipChange } from '../../../src/decisions/consensus/membership.js'
 import { changeMembers, nextMembershipChange } from '../../../src/decisions/consensus/membership.js'
 import type { ControlMember, MemberRole } from '../../../src/types/consensus-entry.js'
 import type { Probe, ProbeAnswer } from '../../../src/types/consensus-message.js'
 import { address, memberId } from '../../../src/types/ids.js'
-import { addresses, appendAnswer, cluster, createSingleMember, headerFrom, ids, logOfTerms, sentOf } from '../../fixtures/single-member.js'
+import { addresses, appendAnswer, cluster, createSingleMember, headerFrom, ids, logOfTerms, sentOf, voters } from '../../fixtures/single-member.js'
 
 const member = (name: string, place: string, role: MemberRole = 'voter'): ControlMember => ({ member: memberId(name), address: address(place), role })
 const join = (name: string, place: string) => ({ member: memberId(name), address: address(place) })
@@ -58,7 +59,8 @@
 })
 
 t.test('a leader changes no membership before its first entry and the former change are committed, as majorities might not overlap', async (t) => {
-  const leading = createSingleMember({ entries: logOfTerms([]) })
+  // With the membership in a snapshot, nothing but the first entry of the leader is uncommitted.
+  const leading = createSingleMember({ snapshot: { index: 1, term: 1, cluster, members: voters, state: emptyReplicatedState() } })
   const { term } = leading.lead()
   const lastIndexAfter = (matchIndex: number): number => {
     leading.receiveAndSync(appendAnswer(2, term, { matchIndex }))
