entry: keep the channel to a former holder while it finishes requests

As soon as an instance was no longer named as holder, the others closed their channels to it, and each request or transaction that it was still running ended with 3004 unknown or could not be reached.

--- a/src/entry/peer-use.ts
+++ b/src/entry/peer-use.ts
@@ -3,7 +3,10 @@
 import type { Clock, Milliseconds } from '../types/clock.js'
 import type { Address, GroupId, InstanceId } from '../types/ids.js'
 
-/** A group that no request came for keeps its channels for this long, in milliseconds. */
+/**
+ * A group that no request came for keeps its channels for this long, in milliseconds.
+ * So does an instance that is no longer a holder: it still finishes the requests and transactions that it was sent.
+ */
 const KEEP_MS = 60_000
 
 export interface PeerUseOptions {
@@ -13,7 +16,7 @@
   setPeers: (peers: ReadonlyMap<InstanceId, Address>) => void
 }
 
-/** Decides which instances to keep channels to: the holders of the groups that requests arrive for. */
+/** Decides which instances to keep channels to: present and recent holders of the groups that requests arrive for. */
 export interface PeerUse {
   use: (group: GroupId) => void
   /** The directory changed. */
@@ -26,13 +29,25 @@
   const { clock, instance } = options
   const directoryReader = options.blackboard.reader(directoryEntry)
   const usedAt = new Map<GroupId, Milliseconds>()
+  const formerSince = new Map<InstanceId, Milliseconds>()
+  let holders = new Set<InstanceId>()
+
+  function noteFormer (present: ReadonlySet<InstanceId>): void {
+    for (const holder of holders) {
+      if (!present.has(holder)) formerSince.set(holder, clock.now())
+    }
+    for (const holder of present) formerSince.delete(holder)
+  }
 
   function refresh (): void {
     const directory = directoryReader.read()
     if (directory === null) return
-    const holders = new Set(directory.groups.filter(({ group }) => usedAt.has(group)).flatMap((group) => group.holders))
-    holders.delete(instance)
-    options.setPeers(new Map(directory.instances.filter((entry) => holders.has(entry.instance)).map((entry) => [entry.instance, entry.peerAddress])))
+    const present = new Set(directory.groups.filter(({ group }) => usedAt.has(group)).flatMap((group) => group.holders))
+    present.delete(instance)
+    noteFormer(present)
+    holders = present
+    const wanted = directory.instances.filter((entry) => holders.has(entry.instance) || formerSince.has(entry.instance))
+    options.setPeers(new Map(wanted.map((entry) => [entry.instance, entry.peerAddress])))
   }
 
   function use (group: GroupId): void {
@@ -48,6 +63,11 @@
       usedAt.delete(group)
       dropped = true
     }
+    for (const [former, since] of formerSince) {
+      if (clock.now() - since < KEEP_MS) continue
+      formerSince.delete(former)
+      dropped = true
+    }
     if (dropped) refresh()
   }
 
