measure: requests cut off by draining holders

Callers choose instances by a readiness probe every 250 ms; two instances drain one after the other under writes, reads of 1.2 s and transactions.

The first drain takes until the connection share of a hanging transaction ends.

--- a/measure/measures.ts
+++ b/measure/measures.ts
@@ -1,9 +1,11 @@
 import { failoverGapMeasure } from './failover-gap.js'
+import { drainMeasure } from './drain.js'
 import type { Measure } from './measure.js'
 import { manifestInForceMeasure } from './manifest-in-force.js'
 
 /** All measures in the order in which they run. */
 export const measures: readonly Measure[] = [
   manifestInForceMeasure,
-  failoverGapMeasure
+  failoverGapMeasure,
+  drainMeasure
 ]
