--- a/test/decisions/membership/new-leader.test.ts
+++ b/test/decisions/membership/new-leader.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import { createBlackboard } from '../../../src/blackboard/blackboard.js'
 import { holdersEntry, leadershipEntry, replicatedStateEntry } from '../../../src/blackboard/control-instance-entries.js'
+import { emptyReplicatedState } from '../../../src/decisions/manifest/apply-command.js'
 import { createDatabaseRegistry } from '../../../src/decisions/membership/database-registry.js'
 import { isDirectoryReady } from '../../../src/decisions/membership/directory-readiness.js'
 import { createHolderAssignment } from '../../../src/decisions/membership/holder-assignment.js'
@@ -17,7 +18,7 @@
   blackboard.claim(leadershipEntry, 'test').write({ term: 2, since: milliseconds(0) })
   const manifest = { formatVersion: 1 as const, failureDomains: [], groups: [{ id: groupId('g'), slots: 5, connections: 30 }], workspaces: [], routes: [] }
   const groups = [{ group: groupId('g'), term: 1, primary: databaseId('a'), phase: 'serving' as const }]
-  blackboard.claim(replicatedStateEntry, 'test').write({ manifestVersion: 1, manifest, acceptedDigests: [], groups })
+  blackboard.claim(replicatedStateEntry, 'test').write({ ...emptyReplicatedState(), manifestVersion: 1, manifest, groups })
   const instances = createInstanceRegistry({ blackboard, clock })
   const databases = createDatabaseRegistry({ blackboard, clock })
   const assignment = createHolderAssignment({ blackboard, clock })
