--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -161,9 +161,9 @@
     leadership.confirm(connection, { connection: connections.attach(connection), heartbeat })
   }
 
-  function takeAnnouncement (announcement: Announcement): void {
+  function takeAnnouncement (announcement: Announcement, ageMs: number): void {
     const { database, group, address } = announcement
-    const outcome = databases.announce(announcement)
+    const outcome = databases.announce(announcement, ageMs)
     if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
     if (outcome === 'departing') logEvent('databaseDeparting', { database, group })
     if (outcome === 'announced' || outcome === 'departing' || outcome === 'returned') update()
@@ -246,7 +246,7 @@
     leadership.refresh()
     if (leadership.term() === null) return refer(connection)
     if (message.kind === 'heartbeat') takeHeartbeat(connection, message)
-    if (message.kind === 'announcement') takeAnnouncement(message.announcement)
+    if (message.kind === 'announcement') takeAnnouncement(message.announcement, message.ageMs)
   }
 
   function tick (): void {
--- a/src/decisions/freshness/control-attachment.ts
+++ b/src/decisions/freshness/control-attachment.ts
@@ -20,6 +20,8 @@
   composeHeartbeat: (known: HeartbeatCore) => Heartbeat
   /** Takes the shares of an answer; `sentAt` is the send time of the heartbeat that was answered. */
   applyShares: (answer: HeartbeatAnswer, sentAt: Milliseconds) => void
+  /** Announcements of databases that are still recent; sent after each attachment. Default: none. */
+  recentAnnouncements?: () => AnnouncementMessage[]
   /** Takes an acknowledgement of counted requests. Default: it is ignored. */
   onServiceLevelAcknowledgement?: (message: ServiceLevelAcknowledgement) => void
   /** Time between heartbeats in milliseconds. Default 500. */
@@ -125,6 +127,12 @@
     return [{ kind: 'send', message: options.composeHeartbeat(core) }]
   }
 
+  /** A new leader knows no databases. Without these it would wait for the next announcement of each, and no lease could be renewed meanwhile. */
+  function forwardAnnouncements (): AttachmentEffect[] {
+    const announcements = options.recentAnnouncements?.() ?? []
+    return announcements.map((message) => ({ kind: 'send', message }))
+  }
+
   function applyManifest (version: number, content: Manifest): void {
     // A version only ever rises: a late or repeated message must not bring back a withdrawn key.
     if (version <= (manifest.read()?.version ?? 0)) return
@@ -201,7 +209,7 @@
     switch (message.kind) {
       case 'connected':
         state = 'attached'
-        return sendHeartbeat()
+        return [...sendHeartbeat(), ...forwardAnnouncements()]
       case 'disconnected':
         if (state === 'waiting') return []
         moveTo(nextMember(), redialMs)
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -29,7 +29,11 @@
 
 /** Databases as they announce themselves. There is no list of databases. */
 export interface DatabaseRegistry {
-  announce: (announcement: Announcement) => AnnouncementOutcome
+  /**
+   * Takes an announcement.
+   * @param ageMs - time since it reached an instance, in ms; default 0
+   */
+  announce: (announcement: Announcement, ageMs?: number) => AnnouncementOutcome
   /** Takes a status that a holder saw. */
   observe: (observation: DatabaseObservation) => void
   /** Takes the answer of a database to an order. */
@@ -60,11 +64,13 @@
     return true
   }
 
-  function announce (announcement: Announcement): AnnouncementOutcome {
+  function announce (announcement: Announcement, ageMs = 0): AnnouncementOutcome {
     const { database, status } = announcement
     const known = databases.get(database)
+    const now = milliseconds(clock.now() - ageMs)
+    // A repeated announcement must not replace what was heard since, nor count as a new sign of life.
+    if (known !== undefined && now < known.announcedAt) return 'ignored'
     if (!isCurrent(known, status)) return 'ignored'
-    const now = clock.now()
     if (announcement.departing) departingSeen.set(database, now)
     const departing = now - (departingSeen.get(database) ?? -Infinity) < DEPARTING_HOLD_MS
     databases.set(database, { announcement, departing, announcedAt: now, status, statusAt: now })
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -16,6 +16,7 @@
 import type { NotReadyReason } from '../decisions/drain/readiness.js'
 import { createReadiness } from '../decisions/drain/readiness.js'
 import { createControlAttachment } from '../decisions/freshness/control-attachment.js'
+import { createRecentAnnouncements } from '../decisions/freshness/recent-announcements.js'
 import { createRetryBudget } from '../decisions/retries/retry-budget.js'
 import { createRequestDispatcher } from '../decisions/routing/request-dispatcher.js'
 import type { RecorderEffect } from '../decisions/service-levels/request-recorder.js'
@@ -24,7 +25,7 @@
 import type { EntrySettings } from '../settings/entry-settings.js'
 import type { CallerAnswer } from '../types/caller-request.js'
 import type { Clock } from '../types/clock.js'
-import type { AnnouncementMessage } from '../types/control-message.js'
+import type { Announcement } from '../types/database-status.js'
 import type { Address, GroupId } from '../types/ids.js'
 import { address, incarnationId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
@@ -126,11 +127,13 @@
     if (wanted.length > 0) link.handle({ kind: 'heartbeat-wanted' })
   }
 
+  const announcements = createRecentAnnouncements(clock)
   const attachment = createControlAttachment({
     clock,
     blackboard,
     logEvent,
     members: settings.control,
+    recentAnnouncements: announcements.recent,
     onServiceLevelAcknowledgement: (message) => { forwardCounts(recorder.handle({ kind: 'received', message })) },
     applyShares: (answer) => {
       const wanted = shareHolder.handle({ kind: 'heartbeat-answer', answer })
@@ -216,8 +219,9 @@
   const peerUse = createPeerUse({ instance, clock, blackboard, setPeers: mesh.setPeers })
   const link = createControlLink({ attachment, hello: helloOf('control'), clusterSecret: settings.clusterSecret, tls })
 
-  function announce (announcement: AnnouncementMessage['announcement']): void {
-    link.handle({ kind: 'forward', message: { version: 1, kind: 'announcement', announcement } })
+  function announce (announcement: Announcement): void {
+    const message = announcements.keep(announcement)
+    link.handle({ kind: 'forward', message })
   }
 
   function encodeSession ({ outcome, group }: CallerAnswer): string | null {
--- a/src/types/control-message.ts
+++ b/src/types/control-message.ts
@@ -75,6 +75,8 @@
 export interface AnnouncementMessage {
   version: 1
   kind: 'announcement'
+  /** Time since the announcement reached the instance, in milliseconds; above 0 when it is repeated to a new leader. */
+  ageMs: number
   announcement: Announcement
 }
 
--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -182,7 +182,7 @@
 t.test('status watches and control keep connections that are not shared out; slots and connections go to holders only', async (t) => {
   const { coordinator, resources, wait } = await startCoordinator()
   coordinator.handle('c', heartbeatOf(1))
-  coordinator.handle('c', { version: 1, kind: 'announcement', announcement: announcementOf(statusOf('d')) })
+  coordinator.handle('c', { version: 1, kind: 'announcement', ageMs: 0, announcement: announcementOf(statusOf('d')) })
   for (let time = 0; time < 2000; time += 500) {
     wait(500)
     coordinator.handle('c', heartbeatOf(time))
--- a/test/decisions/freshness/control-attachment.test.ts
+++ b/test/decisions/freshness/control-attachment.test.ts
@@ -4,8 +4,10 @@
 import { freshnessEntry, manifestEntry } from '../../../src/blackboard/entry-instance-entries.js'
 import { createControlAttachment } from '../../../src/decisions/freshness/control-attachment.js'
 import type { AttachmentEffect } from '../../../src/decisions/freshness/control-attachment.js'
-import type { ControlToEntry, Heartbeat, HeartbeatAnswer } from '../../../src/types/control-message.js'
-import { address, failureDomainId, incarnationId, instanceId } from '../../../src/types/ids.js'
+import { createRecentAnnouncements } from '../../../src/decisions/freshness/recent-announcements.js'
+import type { AnnouncementMessage, ControlToEntry, Heartbeat, HeartbeatAnswer } from '../../../src/types/control-message.js'
+import type { Announcement } from '../../../src/types/database-status.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId } from '../../../src/types/ids.js'
 import type { Manifest } from '../../../src/types/manifest.js'
 import { createFakeClock } from '../../support/fake-clock.js'
 
@@ -13,7 +15,7 @@
 const content: Manifest = { formatVersion: 1, failureDomains: [], groups: [], workspaces: [], routes: [] }
 const directoryVersion = { leaderTerm: 1, counter: 1 }
 
-function setUp () {
+function setUp (recentAnnouncements: () => AnnouncementMessage[] = () => []) {
   const clock = createFakeClock()
   const blackboard = createBlackboard()
   const applied: number[] = []
@@ -23,6 +25,7 @@
     members,
     logEvent: () => {},
     onServiceLevelAcknowledgement: () => {},
+    recentAnnouncements,
     applyShares: (_answer, sentAt) => { applied.push(sentAt) },
     composeHeartbeat: (core) => ({
       version: 1,
@@ -43,6 +46,12 @@
   return { clock, attachment, receive, applied, manifest: blackboard.reader(manifestEntry), freshness: blackboard.reader(freshnessEntry) }
 }
 
+function announcementOf (name: string): Announcement {
+  const database = databaseId(name)
+  const status = { database, incarnation: incarnationId('run-1'), role: 'replica' as const, term: 1, fencedTerm: 0, position: { term: 1, offset: 0 }, ageMs: 0 }
+  return { database, group: groupId('group-1'), address: address('d:1'), failureDomain: failureDomainId('north'), departing: false, status }
+}
+
 function answerOf (sequence: number, change: Partial<HeartbeatAnswer> = {}): HeartbeatAnswer {
   return { version: 1, kind: 'heartbeat-answer', sequence, leaderTerm: 1, manifestVersion: 1, directoryVersion, shares: [], ...change }
 }
@@ -136,3 +145,19 @@
   })
   t.doesNotThrow(() => { fc.assert(neverReverts, { seed: 20261204 }) })
 })
+
+t.test('a new leader is told of the databases at once, so that it need not wait for their next announcements', async (t) => {
+  const clock = createFakeClock()
+  const announcements = createRecentAnnouncements(clock)
+  const first = announcements.keep(announcementOf('database-1'))
+  clock.advance(2900)
+  const second = announcements.keep(announcementOf('database-2'))
+  t.same(announcements.recent(), [{ ...first, ageMs: 2900 }, second])
+  clock.advance(200)
+  t.same(announcements.recent(), [{ ...second, ageMs: 200 }], 'an announcement older than three intervals proves nothing')
+
+  const parts = setUp(announcements.recent)
+  parts.attachment.tick()
+  const sent = parts.attachment.handle({ kind: 'connected' }).filter((effect) => effect.kind === 'send').map(({ message }) => message.kind)
+  t.same(sent, ['heartbeat', 'announcement'])
+})
--- a/test/decisions/membership/registries.test.ts
+++ b/test/decisions/membership/registries.test.ts
@@ -58,3 +58,13 @@
     t.equal(blackboard.reader(registeredDatabasesEntry).read().get(databaseId('d'))?.departing, departing)
   })
 }
+
+t.test('an announcement that is repeated to a new leader counts from the time at which it arrived first', async (t) => {
+  const blackboard = createBlackboard()
+  const registry = createDatabaseRegistry({ blackboard, clock: { now: () => milliseconds(5000) } })
+  const announcedAt = () => blackboard.reader(registeredDatabasesEntry).read().get(databaseId('d'))?.announcedAt
+  registry.announce(announcementOf(statusOf('d')), 800)
+  t.equal(announcedAt(), 4200)
+  t.equal(registry.announce(announcementOf(statusOf('d')), 2000), 'ignored')
+  t.equal(announcedAt(), 4200)
+})
