measure: share of the worst-served workspace, not yet usable

The callers and databases need processes of their own before this figure holds. npm run test:run: 595 passed, 0 failed.

--- a/measure/measures.ts
+++ b/measure/measures.ts
@@ -5,12 +5,14 @@
 import { rateLimitsMeasure } from './rate-limits.js'
 import { replicaReadShareMeasure } from './replica-read-share.js'
 import { restartMeasure } from './restart.js'
+import { worstWorkspaceShareMeasure } from './worst-workspace-share.js'
 
 /** All measures in the order in which they run. */
 export const measures: readonly Measure[] = [
   manifestInForceMeasure,
   replicaReadShareMeasure,
   rateLimitsMeasure,
+  worstWorkspaceShareMeasure,
   addedLatencyMeasure,
   restartMeasure,
   controlBytesMeasure
