entry: end callers' connections at a kill, and kept-alive ones at a close

At a drain, a connection that was busy at the close stayed open after its answer: entry-2 had no request left at 14529 ms and closed at the drain limit at 23056 ms. Answers during the close now carry 'connection: close'.

--- a/src/adapters/http/caller-server.ts
+++ b/src/adapters/http/caller-server.ts
@@ -40,6 +40,8 @@
   reloadTls: () => void
   /** Stops listening, lets running requests finish and ends idle connections. */
   close: () => Promise<void>
+  /** Ends all connections at once, those with running requests too. */
+  abort: () => Promise<void>
 }
 
 type ParsedOperation = Result<CallerOperation, Refusal>
@@ -70,6 +72,12 @@
  */
 export async function listenForCallers (options: CallerServerOptions): Promise<CallerServer> {
   const app = createApp(options)
+  let isClosing = false
+
+  // A kept-alive connection that outlives its last answer would hold up the close until it times out.
+  app.addHook('onSend', async (_request, reply) => {
+    if (isClosing) reply.header('connection', 'close')
+  })
 
   async function serve (request: FastifyRequest, reply: FastifyReply, operation: ParsedOperation): Promise<FastifyReply> {
     if (operation.isErr()) return sendRefusal(reply, operation.error)
@@ -135,6 +143,14 @@
     reloadTls: () => {
       if (options.tls !== null && 'setSecureContext' in app.server) (app.server as { setSecureContext: (pair: unknown) => void }).setSecureContext(readPair(options.tls))
     },
-    close: async () => { await app.close() }
+    close: async () => {
+      isClosing = true
+      await app.close()
+    },
+    abort: async () => {
+      const closed = app.close()
+      app.server.closeAllConnections()
+      await closed
+    }
   }
 }
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -303,8 +303,8 @@
   }
 
   async function kill (): Promise<void> {
-    await stop()
-    callerServer.close()
+    // Requests that nobody answers any more must not keep their callers waiting on an open connection.
+    await Promise.all([stop(), callerServer.abort()])
   }
 
   return {
--- /dev/null
+++ b/test/adapters/http/caller-server.test.ts
@@ -0,0 +1,76 @@
+import t, { type Test } from 'tap'
+import { listenForCallers, type CallerServer } from '../../../src/adapters/http/caller-server.js'
+import type { CallerAnswer } from '../../../src/types/caller-request.js'
+import { entrySettingsSchema } from '../../../src/settings/entry-settings.js'
+
+const { limits } = entrySettingsSchema.parse({
+  instance: 'a',
+  failureDomain: 'd',
+  callers: { port: 0 },
+  operators: { port: 0 },
+  peers: { port: 0 },
+  control: ['127.0.0.1:1'],
+  clusterSecret: 'cluster secret of the test',
+  announcementSecret: 'announcement secret of the test',
+  database: { user: 'u', password: 'p', databaseName: 'd' }
+})
+const success: CallerAnswer = { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, transaction: null }, group: null }
+
+interface Fixture {
+  server: CallerServer
+  arrived: Promise<void>
+  release: () => void
+  request: () => Promise<Response>
+}
+
+async function startServer (): Promise<Fixture> {
+  let release = (): void => {}
+  let arrive = (): void => {}
+  const released = new Promise<void>((resolve) => { release = resolve })
+  const arrived = new Promise<void>((resolve) => { arrive = resolve })
+  const server = await listenForCallers({
+    host: '127.0.0.1',
+    port: 0,
+    tls: null,
+    ...limits,
+    announcementSecret: 's',
+    serve: async () => {
+      arrive()
+      await released
+      return success
+    },
+    encodeSession: () => null,
+    announce: () => {},
+    logEvent: () => {}
+  })
+  return {
+    server,
+    arrived,
+    release,
+    request: async () => await fetch(`http://127.0.0.1:${server.port}/v1/statements`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify({ statement: 'select 1' }) })
+  }
+}
+
+// A kept-alive connection held up a drain until its limit of 10 s.
+t.test('a request that runs at the close is answered and its connection ends', async (t: Test) => {
+  const { server, arrived, release, request } = await startServer()
+  const answer = request()
+  await arrived
+  const closed = server.close()
+  release()
+  const { status, headers } = await answer
+  t.equal(status, 200)
+  t.equal(headers.get('connection'), 'close')
+  await closed
+})
+
+// Callers of a killed instance waited for good on a connection that stayed open.
+t.test('an abort ends the connections of running requests', async (t: Test) => {
+  const { server, arrived, release, request } = await startServer()
+  const answer = request()
+  const ended = t.rejects(answer)
+  await arrived
+  await server.abort()
+  await ended
+  release()
+})
