--- a/measure/measures.ts
+++ b/measure/measures.ts
@@ -1,6 +1,7 @@
 import { drainMeasure } from './drain.js'
 import { failoverGapMeasure } from './failover-gap.js'
 import { faultMixMeasure } from './fault-mix.js'
+import { keyWithdrawalMeasure } from './key-withdrawal.js'
 import type { Measure } from './measure.js'
 import { manifestInForceMeasure } from './manifest-in-force.js'
 
@@ -9,5 +10,6 @@
   manifestInForceMeasure,
   failoverGapMeasure,
   faultMixMeasure,
+  keyWithdrawalMeasure,
   drainMeasure
 ]
