--- a/measure/measures.ts
+++ b/measure/measures.ts
@@ -1,5 +1,6 @@
 import { drainMeasure } from './drain.js'
 import { failoverGapMeasure } from './failover-gap.js'
+import { failureDomainChangeMeasure } from './failure-domain-change.js'
 import { faultMixMeasure } from './fault-mix.js'
 import { keyWithdrawalMeasure } from './key-withdrawal.js'
 import type { Measure } from './measure.js'
@@ -10,6 +11,7 @@
   manifestInForceMeasure,
   failoverGapMeasure,
   faultMixMeasure,
+  failureDomainChangeMeasure,
   keyWithdrawalMeasure,
   drainMeasure
 ]
