--- a/measure/measures.ts
+++ b/measure/measures.ts
@@ -1,5 +1,8 @@
-import { failoverGapMeasure } from './failover-gap.js'
 import { drainMeasure } from './drain.js'
+import { failoverGapMeasure } from './failover-gap.js'
+import { failureDomainChangeMeasure } from './failure-domain-change.js'
+import { faultMixMeasure } from './fault-mix.js'
+import { keyWithdrawalMeasure } from './key-withdrawal.js'
 import type { Measure } from './measure.js'
 import { addedLatencyMeasure } from './added-latency.js'
 import { controlBytesMeasure } from './control-bytes.js'
@@ -13,11 +16,14 @@
 export const measures: readonly Measure[] = [
   manifestInForceMeasure,
   failoverGapMeasure,
-  drainMeasure,
   replicaReadShareMeasure,
   rateLimitsMeasure,
   worstWorkspaceShareMeasure,
   addedLatencyMeasure,
   restartMeasure,
-  controlBytesMeasure
+  controlBytesMeasure,
+  faultMixMeasure,
+  failureDomainChangeMeasure,
+  keyWithdrawalMeasure,
+  drainMeasure
 ]
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -107,6 +107,7 @@
     clock,
     random,
     openConnection: createOpenDatabaseConnection(postgres),
+    onEnded: () => { setImmediate(watchDatabases) },
     sendAnswer: (to, answer) => {
       // Answers to own requests are delivered after the executor has finished its step.
       if (to === SELF) queueMicrotask(() => { service.takeAnswer(instance, answer) })
@@ -252,12 +253,18 @@
 
   const probeServer: ProbeServer = await listenForProbes({ ...settings.operators, notReadyReason, renderMetrics, logEvent })
 
+  /** A former holder watches on while its writes wait for a majority; without a status they would end as unknown. */
+  function watchDatabases (): void {
+    const groups = executors.groups()
+    watcher.setDatabases((directoryReader.read()?.databases ?? []).filter(({ group }) => groups.has(group)))
+  }
+
   function applyDirectory (): void {
     const directory = directoryReader.read()
     if (directory === null) return
     const heldGroups = new Set<GroupId>(directory.groups.filter(({ holders }) => holders.includes(instance)).map(({ group }) => group))
     executors.setGroups(heldGroups)
-    watcher.setDatabases(directory.databases.filter(({ group }) => heldGroups.has(group)))
+    watchDatabases()
     peerUse.refresh()
     // The leader of a switchover waits for the terms that this instance releases.
     link.handle({ kind: 'heartbeat-wanted' })
@@ -320,8 +327,8 @@
   }
 
   async function kill (): Promise<void> {
-    await stop()
-    callerServer.close()
+    // Requests that nobody answers any more must not keep their callers waiting on an open connection.
+    await Promise.all([stop(), callerServer.abort()])
   }
 
   return {
--- a/src/entry/group-executors.ts
+++ b/src/entry/group-executors.ts
@@ -24,6 +24,8 @@
   random: Random
   openConnection: OpenDatabaseConnection
   sendAnswer: (to: RequesterName, answer: Answer) => void
+  /** The executor of a group that is not held any more ended. */
+  onEnded: () => void
 }
 
 /** The executors of all groups that this instance holds or still finishes work of. */
@@ -37,6 +39,8 @@
   demand: () => ShareDemand[]
   releasedTerms: () => ReleasedTerm[]
   activeCount: () => number
+  /** @returns groups with an executor: those held, and those with work that has not ended */
+  groups: () => ReadonlySet<GroupId>
   usedSlots: (database: DatabaseId) => number
   usedConnections: (database: DatabaseId) => number
   close: () => void
@@ -86,6 +90,7 @@
       if (held.has(group) || executor.activeCount() > 0) continue
       connections.closeAll()
       running.delete(group)
+      options.onEnded()
     }
   }
 
@@ -120,6 +125,7 @@
     tick,
     demand: () => [...running.values()].flatMap(({ executor }) => executor.demand()),
     releasedTerms: () => [...running.values()].flatMap(({ executor }) => executor.releasedTerms()),
+    groups: () => new Set(running.keys()),
     activeCount: () => sumOf((executor) => executor.activeCount()),
     usedSlots: (database) => sumOf((executor) => executor.usedSlots(database)),
     usedConnections: (database) => sumOf((executor) => executor.usedConnections(database)),
