--- /dev/null
+++ b/test/entry/request-service.test.ts
@@ -0,0 +1,124 @@
+import t from 'tap'
+import { createBlackboard } from '../../src/blackboard/blackboard.js'
+import { freshnessEntry, manifestEntry } from '../../src/blackboard/entry-instance-entries.js'
+import type { WorkspaceLimiter } from '../../src/decisions/limits/workspace-limiter.js'
+import { createRetryBudget } from '../../src/decisions/retries/retry-budget.js'
+import type { DispatcherMessage } from '../../src/decisions/routing/dispatcher-message.js'
+import type { RequestDispatcher } from '../../src/decisions/routing/request-dispatcher.js'
+import { encodeSessionToken } from '../../src/decisions/sessions/session-token.js'
+import type { FinishedRequest } from '../../src/entry/request-service.js'
+import { createRequestService } from '../../src/entry/request-service.js'
+import type { CallerRequest } from '../../src/types/caller-request.js'
+import { milliseconds } from '../../src/types/clock.js'
+import { groupId, keyId, workspaceId } from '../../src/types/ids.js'
+import type { Manifest } from '../../src/types/manifest.js'
+import type { Success } from '../../src/types/outcome.js'
+import { resultCodes } from '../../src/types/result-code.js'
+import { digestKey } from '../../src/utils/digest-key.js'
+import { createFakeClock } from '../support/fake-clock.js'
+
+const KEY = 'a-very-secret-key'
+const success: Success = { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }
+
+function manifestWith (keys: string[]): Manifest {
+  return {
+    formatVersion: 1,
+    failureDomains: [],
+    groups: [{ id: groupId('group-1'), slots: 5, connections: 30 }],
+    workspaces: [{ id: workspaceId('shop'), group: groupId('group-1'), rate: 10, burst: 10, weight: 1, keys: keys.map((key, index) => ({ id: keyId(`shop-${index}`), digest: digestKey(key) })) }],
+    routes: [
+      { name: 'open', workspace: workspaceId('shop'), statement: 'select 1', access: 'read', open: true },
+      { name: 'closed', workspace: workspaceId('shop'), statement: 'select 1', access: 'read', open: false }
+    ]
+  }
+}
+
+function setUp () {
+  const clock = createFakeClock()
+  const blackboard = createBlackboard()
+  const manifest = blackboard.claim(manifestEntry, 'test')
+  const freshness = blackboard.claim(freshnessEntry, 'test')
+  const dispatched: DispatcherMessage[] = []
+  const finished: FinishedRequest[] = []
+  const limiter: WorkspaceLimiter = {
+    handle: (message) => message.kind === 'admit' ? [{ kind: 'admitted', requestId: message.requestId, waitedMs: 0 }] : [],
+    tick: () => [],
+    demand: () => [],
+    nextTickAt: () => null
+  }
+  const dispatcher: RequestDispatcher = {
+    handle: (message) => {
+      dispatched.push(message)
+      return message.kind === 'request' ? [{ kind: 'outcome', requestId: message.request.requestId, outcome: success }] : []
+    },
+    tick: () => [],
+    activeCount: () => 0
+  }
+  const service = createRequestService({
+    clock,
+    blackboard,
+    limiter,
+    dispatcher,
+    retryBudget: createRetryBudget(),
+    deadlineMs: 5000,
+    longestDeadlineMs: 30_000,
+    sendToHolder: () => {},
+    onDemand: () => {},
+    onGroupUsed: () => {},
+    onFinished: (request) => { finished.push(request) }
+  })
+  manifest.write({ version: 1, manifest: manifestWith([KEY]) })
+  freshness.write({ provenAt: clock.now(), validUntil: milliseconds(clock.now() + 1500), leaderTerm: 1 })
+  const serve = async (change: Partial<CallerRequest> = {}) => {
+    const request: CallerRequest = { key: KEY, operation: { kind: 'statement', statement: 'select 1', values: [], access: 'read' }, sessionToken: null, sessionId: null, idempotencyKey: null, nonIdempotent: false, oldestAgeMs: null, deadlineMs: null, ...change }
+    return (await service.serve(request, new AbortController().signal)).outcome
+  }
+  return { clock, manifest, dispatched, finished, serve }
+}
+
+t.test('what leaves the instance names the key by its id and holds neither key nor digest', async (t) => {
+  const { dispatched, finished, serve } = setUp()
+  t.match(await serve(), { kind: 'success' })
+  const text = JSON.stringify([dispatched, finished])
+  t.match(dispatched, [{ kind: 'request', request: { keyId: 'shop-0', workspace: 'shop' } }])
+  t.notMatch(text, KEY)
+  t.notMatch(text, digestKey(KEY))
+})
+
+t.test('a key is refused from the moment at which a manifest without it is in force', async (t) => {
+  const { manifest, serve } = setUp()
+  t.match(await serve(), { kind: 'success' })
+  manifest.write({ version: 2, manifest: manifestWith(['another key']) })
+  t.match(await serve(), { kind: 'refusal', code: resultCodes.keyRefused.code, outcome: 'not-run' })
+})
+
+t.test('nothing is accepted once the freshness lease ran out', async (t) => {
+  const { clock, serve, dispatched } = setUp()
+  clock.advance(1500)
+  t.match(await serve(), { kind: 'refusal', code: resultCodes.notFresh.code, outcome: 'not-run' })
+  t.same(dispatched, [])
+})
+
+const otherGroup = encodeSessionToken({ group: groupId('group-2'), position: { term: 1, offset: 1 } })
+const refusals: [string, Partial<CallerRequest>, number][] = [
+  ['has no key', { key: null }, resultCodes.keyMissing.code],
+  ['has an unknown key', { key: 'unknown' }, resultCodes.keyRefused.code],
+  ['names an unknown route', { operation: { kind: 'route', name: 'none', values: [] } }, resultCodes.unknownRoute.code],
+  ['calls a route that is not open without a key', { key: null, operation: { kind: 'route', name: 'closed', values: [] } }, resultCodes.keyMissing.code],
+  ['has a damaged session token', { sessionToken: 'damaged' }, resultCodes.sessionTokenInvalid.code],
+  ['has a session token of another group', { sessionToken: otherGroup }, resultCodes.sessionTokenInvalid.code],
+  ['would change the workspace of a connection', { operation: { kind: 'statement', statement: "select set_config('catkinrelay.workspace', 'x', false)", values: [], access: 'read' } }, resultCodes.statementNotAllowed.code]
+]
+for (const [reason, change, code] of refusals) {
+  t.test(`a request is refused as not run and sent nowhere when it ${reason}`, async (t) => {
+    const { serve, dispatched } = setUp()
+    t.match(await serve(change), { kind: 'refusal', code, outcome: 'not-run' })
+    t.same(dispatched, [])
+  })
+}
+
+t.test('an open route runs for its own workspace without a key', async (t) => {
+  const { serve, dispatched } = setUp()
+  t.match(await serve({ key: null, operation: { kind: 'route', name: 'open', values: [] } }), { kind: 'success' })
+  t.match(dispatched, [{ request: { keyId: null, workspace: 'shop' } }])
+})
