--- /dev/null
+++ b/measure/idle-callers.ts
@@ -0,0 +1,14 @@
+import { connect } from 'node:net'
+
+/** Opens idle connections in a process of their own, tells its parent when all are open, and keeps them until it is ended. */
+async function openConnections (port: number, count: number): Promise<void> {
+  for (let opened = 0; opened < count; opened++) {
+    await new Promise<void>((resolve, reject) => {
+      const socket = connect(port, '127.0.0.1', resolve)
+      socket.once('error', reject)
+    })
+  }
+  process.send?.('open')
+}
+
+await openConnections(Number(process.argv[2]), Number(process.argv[3]))
