--- a/src/control/control-instance.ts
+++ b/src/control/control-instance.ts
@@ -2,7 +2,7 @@
 import type { OperatorServer } from '../adapters/http/operator-server.js'
 import { listenForOperators } from '../adapters/http/operator-server.js'
 import { createDatabaseOrders } from '../adapters/postgres/database-orders.js'
-import { scheduleTicks } from '../adapters/timers/schedule-ticks.js'
+import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { MessageChannel } from '../adapters/ws/message-channel.js'
 import type { MessageServer } from '../adapters/ws/message-server.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
@@ -21,7 +21,6 @@
 import type { BurnReport } from '../types/operator-report.js'
 import type { Random } from '../utils/create-random.js'
 import { startControlLog } from './control-log-runner.js'
-import { controlSummaryOf } from './control-summary-of.js'
 import { createCoordinator } from './coordinator.js'
 import { createMemberTransport } from './member-transport.js'
 import type { OperatorService } from './operator-service.js'
@@ -145,7 +144,7 @@
   const service: OperatorService = createOperatorService({
     instance: settings.instance,
     log,
-    summary: () => controlSummaryOf(coordinator.summary()),
+    summary: coordinator.summary,
     burn: ({ manifest, serviceLevels: counts }) => manifest === null ? { rows: [], withoutObjectives: [], lostIncrements: 0 } : computeBurn(manifest, counts, timeOfDay().getTime()),
     incidents: incidents.list,
     after: callAfter,
@@ -160,7 +159,7 @@
     requests: { ...service, page: async () => burnPage(await service.report('burn') as BurnReport) },
     logEvent
   })
-  const stopTicks = scheduleTicks(TICK_MS, () => {
+  const stopTicks = repeatByTimer(TICK_MS, () => {
     coordinator.tick()
     serviceLevels.tick()
   })
--- a/src/control/coordinator-summary.ts
+++ b/src/control/coordinator-summary.ts
@@ -1,57 +1,17 @@
 import type { PrimaryChangeReport, RegisteredDatabase, RegisteredInstance } from '../blackboard/control-instance-entries.js'
 import type { Milliseconds } from '../types/clock.js'
-import type { Directory, DirectoryVersion, GroupPhase } from '../types/directory.js'
-import type { DatabaseId, FailureDomainId, GroupId, InstanceId } from '../types/ids.js'
-
-export interface InstanceSummary {
-  instance: InstanceId
-  failureDomain: FailureDomainId
-  draining: boolean
-  /** No heartbeat for one lease; the other fields tell what it proved last. */
-  lost: boolean
-  /** Manifest version that its last heartbeat proved. */
-  manifestVersion: number
-  /** Age of that proof, in ms. */
-  provenAgoMs: number
-}
-
-export interface GroupSummary {
-  group: GroupId
-  term: number
-  primary: DatabaseId | null
-  phase: GroupPhase
-  holders: InstanceId[]
-  /** Last change of primary that this leader made. */
-  lastChange: { planned: boolean, gapMs: number | null, endedAgoMs: number } | null
-}
-
-export interface DatabaseSummary {
-  database: DatabaseId
-  group: GroupId
-  failureDomain: FailureDomainId
-  departing: boolean
-  weight: number
-  /** Age of the last announcement or answer, in ms. */
-  lastSignOfLifeAgoMs: number
-}
-
-/** What the control leader knows, for reports. A member that does not lead knows nothing of instances and databases. */
-export interface CoordinatorSummary {
-  /** Null: this member does not lead. */
-  leaderTerm: number | null
-  manifestVersion: number
-  directoryVersion: DirectoryVersion | null
-  instances: InstanceSummary[]
-  groups: GroupSummary[]
-  databases: DatabaseSummary[]
-}
+import type { ControlSummary, DatabaseSummary, GroupSummary, InstanceSummary } from '../types/control-summary.js'
+import type { Directory, DirectoryGroup } from '../types/directory.js'
+import type { DatabaseId, GroupId } from '../types/ids.js'
 
 export interface SummarySources {
   now: Milliseconds
+  /** Null: this member does not lead. */
   leaderTerm: number | null
   manifestVersion: number
   directory: Directory | null
   instances: Iterable<RegisteredInstance>
+  /** Instances without a heartbeat for one lease. They stay listed with what they proved last. */
   lostInstances: Iterable<RegisteredInstance>
   databases: ReadonlyMap<DatabaseId, RegisteredDatabase>
   weights: ReadonlyMap<DatabaseId, number>
@@ -59,25 +19,32 @@
 }
 
 /** @returns a copy that does not change any more */
-export function summarize (sources: SummarySources): CoordinatorSummary {
-  const { now, leaderTerm, manifestVersion, directory, databases, weights, changes } = sources
-  const instances = [...[...sources.instances].map(summarizeInstance(now, false)), ...[...sources.lostInstances].map(summarizeInstance(now, true))]
+export function summarize (sources: SummarySources): ControlSummary {
+  const { now, leaderTerm, manifestVersion, directory } = sources
+  const instances = [...sources.instances, ...sources.lostInstances].map((instance) => summarizeInstance(instance, now))
+  const groups = directory?.groups ?? []
+  const primaries = new Set(groups.map(({ primary }) => primary))
   return {
-    leaderTerm,
+    leaderTerm: leaderTerm ?? 0,
     manifestVersion,
-    directoryVersion: directory?.version ?? null,
     instances: instances.sort((left, right) => left.instance < right.instance ? -1 : 1),
-    groups: (directory?.groups ?? []).map(({ group, term, primary, phase, holders }) => {
-      const change = changes.get(group)
-      const lastChange = change === undefined ? null : { planned: change.planned, gapMs: change.gapMs, endedAgoMs: now - change.endedAt }
-      return { group, term, primary, phase, holders: [...holders], lastChange }
-    }),
-    databases: [...databases].sort(([left], [right]) => left < right ? -1 : 1).map(([database, { announcement, departing, statusAt }]) => ({
-      database, group: announcement.group, failureDomain: announcement.failureDomain, departing, weight: weights.get(database) ?? 0, lastSignOfLifeAgoMs: now - statusAt
-    }))
+    groups: groups.map((group) => summarizeGroup(group, sources.changes.get(group.group), now)),
+    databases: [...sources.databases]
+      .sort(([left], [right]) => left < right ? -1 : 1)
+      .map(([database, registered]) => summarizeDatabase(registered, primaries.has(database), sources.weights.get(database) ?? 0, now))
   }
 }
 
-function summarizeInstance (now: Milliseconds, lost: boolean): (instance: RegisteredInstance) => InstanceSummary {
-  return ({ instance, failureDomain, draining, manifestVersion, lastHeartbeatAt }) => ({ instance, failureDomain, draining, lost, manifestVersion, provenAgoMs: now - lastHeartbeatAt })
+function summarizeInstance ({ instance, failureDomain, draining, manifestVersion, lastHeartbeatAt }: RegisteredInstance, now: Milliseconds): InstanceSummary {
+  return { instance, failureDomain, draining, manifestVersion, provenMsAgo: now - lastHeartbeatAt }
+}
+
+function summarizeGroup ({ group, term, primary, phase, holders }: DirectoryGroup, change: PrimaryChangeReport | undefined, now: Milliseconds): GroupSummary {
+  const lastFailover = change === undefined ? null : { planned: change.planned, gapMs: change.gapMs, endedMsAgo: now - change.endedAt }
+  return { group, term, primary, phase, holders: [...holders], lastFailover }
+}
+
+function summarizeDatabase ({ announcement, departing, statusAt }: RegisteredDatabase, isPrimary: boolean, weight: number, now: Milliseconds): DatabaseSummary {
+  const { database, group, failureDomain } = announcement
+  return { database, group, failureDomain, role: isPrimary ? 'primary' : 'replica', departing, weight, silentForMs: now - statusAt }
 }
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -15,13 +15,13 @@
 import type { Clock } from '../types/clock.js'
 import type { ControlLog } from '../types/control-log.js'
 import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
+import type { ControlSummary } from '../types/control-summary.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
 import type { Announcement } from '../types/database-status.js'
 import type { GroupId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { ShareAllocator } from '../types/share-allocator.js'
 import { summarize } from './coordinator-summary.js'
-import type { CoordinatorSummary } from './coordinator-summary.js'
 import { createEntryConnections } from './entry-connections.js'
 import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
 import { createFailoverEffects } from './failover-effects.js'
@@ -64,7 +64,7 @@
   handle: (connection: ConnectionName, message: EntryToControl) => void
   /** Called at least every 50 ms. */
   tick: () => void
-  summary: () => CoordinatorSummary
+  summary: () => ControlSummary
 }
 
 /** Creates the coordinator of a control instance. It does nothing but refer to the leader while the instance does not lead. */
@@ -274,7 +274,7 @@
     }
   }
 
-  function summary (): CoordinatorSummary {
+  function summary (): ControlSummary {
     return summarize({
       now: clock.now(),
       leaderTerm: leadership.term(),
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -6,8 +6,7 @@
 import { createMetrics } from '../adapters/metrics/create-metrics.js'
 import { createOpenDatabaseConnection } from '../adapters/postgres/open-database-connection.js'
 import { createWatchDatabaseStatus } from '../adapters/postgres/watch-database-status.js'
-import type { StopTicks } from '../adapters/timers/schedule-ticks.js'
-import { scheduleTicks } from '../adapters/timers/schedule-ticks.js'
+import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { Hello } from '../adapters/ws/message-channel.js'
 import type { MessageServer } from '../adapters/ws/message-server.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
@@ -294,7 +293,7 @@
   directoryReader.onWrite(() => { setImmediate(applyDirectory) })
   for (const entry of [manifestEntry, directoryEntry, sharesEntry]) blackboard.reader<unknown>(entry).onWrite(settleSoon)
   watcher.onStatus(settleSoon)
-  const stopTicks: StopTicks = scheduleTicks(TICK_MS, tick)
+  const stopTicks = repeatByTimer(TICK_MS, tick)
   link.tick()
   logEvent('started', { callers: callerServer.port, operators: probeServer.port, peers: ownPeerAddress })
 
--- a/src/reports/status-report.ts
+++ b/src/reports/status-report.ts
@@ -1,4 +1,4 @@
-import type { ControlSummary } from '../types/control-summary.js'
+import type { ControlSummary, FailoverSummary } from '../types/control-summary.js'
 import type { GroupRow, ReportHead, StatusReport } from '../types/operator-report.js'
 import type { ReplicatedState } from '../types/replicated-state.js'
 import { instanceRows, PROOF_MS } from './in-force-report.js'
@@ -35,7 +35,7 @@
   const { lastFailover } = group
   const last = lastFailover === null
     ? []
-    : wrapLine(`  last ${lastFailover.planned ? 'switchover' : 'failover'} ${ageText(lastFailover.endedMsAgo)} ago, gap ${ageText(lastFailover.gapMs)}`)
+    : wrapLine(lastFailoverText(lastFailover))
   const primary = group.primary === null ? 'NO PRIMARY' : `primary ${group.primary}`
   const holders = group.holders.length === 0 ? 'NO HOLDER' : `${group.holders.length} holders`
   return [
@@ -58,3 +58,8 @@
   if (report.manifestDigest !== null) lines.push(...wrapLine(`  content ${report.manifestDigest.slice(0, DIGEST_SHOWN)}, committed by ${report.committedBy ?? 'an unknown operator'}`))
   return [...lines, ...report.groups.filter(isServing).flatMap(groupLines)]
 }
+
+function lastFailoverText ({ planned, gapMs, endedMsAgo }: FailoverSummary): string {
+  if (gapMs === null) return `  first started ${ageText(endedMsAgo)} ago`
+  return `  last ${planned ? 'switchover' : 'failover'} ${ageText(endedMsAgo)} ago, gap ${ageText(gapMs)}`
+}
--- a/src/types/control-summary.ts
+++ b/src/types/control-summary.ts
@@ -9,15 +9,15 @@
   draining: boolean
   /** Manifest version of its last heartbeat. */
   manifestVersion: number
-  /** Milliseconds since the heartbeat that proved it. */
+  /** Milliseconds since the heartbeat that proved it; a lost instance stays listed. */
   provenMsAgo: number
 }
 
 /** Last change of primary of a group. */
 export interface FailoverSummary {
   planned: boolean
-  /** From the last sign of life of the old primary to the commit of the new one, in milliseconds. */
-  gapMs: number
+  /** From the last sign of life of the old primary to the commit of the new one, in milliseconds; null at the first start of a group. */
+  gapMs: number | null
   endedMsAgo: number
 }
 
@@ -44,6 +44,7 @@
 
 /** What the control leader knows, for operators' reports. */
 export interface ControlSummary {
+  /** 0: this member does not lead and knows nothing of instances and databases. */
   leaderTerm: number
   manifestVersion: number
   instances: InstanceSummary[]
