--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -6,9 +6,22 @@
 
 const member = z.object({ member: name, address: name, role: z.enum(['voter', 'learner']) })
 
+const databaseRecord = z.object({
+  database: name,
+  group: name,
+  address: name,
+  failureDomain: name,
+  startedAt: z.number(),
+  role: z.enum(['primary', 'replica']),
+  state: z.enum(['ready', 'departing', 'gone'])
+})
+
 const command = z.discriminatedUnion('kind', [
   // The content of a manifest was checked before it was proposed.
   z.object({ kind: z.literal('commit-manifest'), base: count, manifest: z.looseObject({}), digest: name, operator: z.string() }),
+  z.object({ kind: z.literal('adopt-manifest'), version: count, manifest: z.looseObject({}), document: z.string(), digest: name, operator: z.string() }),
+  z.object({ kind: z.literal('set-failure-domain'), failureDomain: name, out: z.boolean() }),
+  z.object({ kind: z.literal('record-database'), database: databaseRecord }),
   z.object({ kind: z.literal('begin-election'), group: name, term: count }),
   z.object({ kind: z.literal('set-primary'), group: name, term: count, database: name }),
   z.object({ kind: z.literal('count-requests'), at: count, increments: z.array(z.looseObject({ incarnation: name, sequence: count })) }),
@@ -28,6 +41,9 @@
   manifest: z.looseObject({}).nullable(),
   acceptedDigests: z.array(z.object({ version: count, digest: name, operator: z.string() })),
   groups: z.array(z.object({ group: name, term: count, primary: name.nullable(), phase: z.enum(['serving', 'electing']) })),
+  manifestDocument: z.string().nullable(),
+  withdrawnDomains: z.array(name),
+  databases: z.array(databaseRecord),
   serviceLevels: z.looseObject({ at: count, lostIncrements: count })
 })
 
@@ -55,7 +71,7 @@
   }).refine((append) => append.entries.every((item, position) => item.index === append.previousIndex + 1 + position)),
   z.object({ ...header, kind: z.literal('append-answer'), round: count, accepted: z.boolean(), matchIndex: count, nextIndex: count }),
   z.object({ ...header, kind: z.literal('snapshot'), entryAddress: name, round: count, snapshot }),
-  z.object({ ...probe, kind: z.literal('probe') }),
+  z.object({ ...probe, kind: z.literal('probe'), forwarded: z.boolean().optional() }),
   z.object({ ...probe, kind: z.literal('probe-answer'), to: name })
 ])
 
--- a/src/control/control-log-options.ts
+++ b/src/control/control-log-options.ts
@@ -1,4 +1,5 @@
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
+import type { ConsensusOptions } from '../decisions/consensus/consensus-options.js'
 import type { Clock } from '../types/clock.js'
 import type { ConsensusTransport } from '../types/consensus-message.js'
 import type { StorageFailure } from '../types/control-storage.js'
@@ -14,6 +15,8 @@
   entryAddress: Address
   /** Addresses of all members, this one included. */
   memberAddresses: readonly Address[]
+  /** See the options of the consensus controller: seeds, formation, open membership, number of voters and times. */
+  consensus?: Partial<Pick<ConsensusOptions, 'seedAddresses' | 'mayForm' | 'openMembership' | 'targetVoters' | 'electionTimeoutMinMs' | 'electionTimeoutMaxMs' | 'heartbeatMs'>>
   /** Path of the data folder. */
   dataFolder: string
   transport: ConsensusTransport
@@ -33,5 +36,5 @@
 
 /** @returns the options with all defaults filled in */
 export function resolveControlLogOptions (options: ControlLogOptions): ResolvedControlLogOptions {
-  return { snapshotThreshold: 512, repeat: repeatByTimer, onFailure: () => {}, ...options }
+  return { snapshotThreshold: 512, repeat: repeatByTimer, onFailure: () => {}, consensus: {}, ...options }
 }
--- a/src/control/control-log-runner.ts
+++ b/src/control/control-log-runner.ts
@@ -41,13 +41,15 @@
 }
 
 function findMistake (options: ResolvedControlLogOptions): string | null {
-  if (!options.memberAddresses.includes(options.ownAddress)) return `the member addresses do not include the own address ${options.ownAddress}`
+  const mustBeListed = options.consensus.openMembership !== true
+  if (mustBeListed && !options.memberAddresses.includes(options.ownAddress)) return `the member addresses do not include the own address ${options.ownAddress}`
   if (new Set(options.memberAddresses).size < options.memberAddresses.length) return 'a member address is listed twice'
   return null
 }
 
 function createRunner (options: ResolvedControlLogOptions, { storage, restored }: OpenedControlStorage): ControlLogRunner {
   const controller = createConsensusController({
+    ...options.consensus,
     ownAddress: options.ownAddress,
     entryAddress: options.entryAddress,
     memberAddresses: options.memberAddresses,
@@ -125,6 +127,7 @@
     leaderAddress,
     term: () => controller.view().term,
     state: () => controller.view().state,
+    memberAddresses: () => controller.view().log.members().filter(({ role }) => role === 'voter').map(({ address }) => address),
     propose: async (command) => {
       if (isStopped) return err(notLeader())
       const { number, result } = proposals.open()
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -1,3 +1,5 @@
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { createBlackboard } from '../blackboard/blackboard.js'
 import {
   databaseWeightsEntry, holdersEntry, leadershipEntry, primaryChangesEntry, publishedDirectoryEntry, registeredDatabasesEntry,
@@ -5,15 +7,17 @@
 } from '../blackboard/control-instance-entries.js'
 import { createDatabaseWeights } from '../decisions/failure-domains/database-weights.js'
 import { createFailover } from '../decisions/failover/failover.js'
+import type { Failover } from '../decisions/failover/failover.js'
 import type { FailoverMessage } from '../decisions/failover/failover-message.js'
 import type { FailoverOptions } from '../decisions/failover/failover-options.js'
+import { judgeAnnouncement, recordedAnnouncement } from '../decisions/membership/database-runs.js'
 import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
 import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
 import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
 import { createHolderAssignment } from '../decisions/membership/holder-assignment.js'
 import { createInstanceRegistry } from '../decisions/membership/instance-registry.js'
 import type { Clock } from '../types/clock.js'
-import type { ControlLog } from '../types/control-log.js'
+import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
 import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
 import type { ControlSummary } from '../types/control-summary.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
@@ -24,7 +28,8 @@
 import { summarize } from './coordinator-summary.js'
 import { createEntryConnections } from './entry-connections.js'
 import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
-import { createFailoverEffects } from './failover-effects.js'
+import { createFailoverEffects, giveToDatabases } from './failover-effects.js'
+import type { GiveOrder } from './failover-effects.js'
 import { createLeadership } from './leadership.js'
 import { logFailureDomains } from './log-failure-domains.js'
 import { createLostInstances } from './lost-instances.js'
@@ -42,11 +47,24 @@
   clock: Clock
   log: ControlLog
   allocator: ShareAllocator
-  orders: DatabaseOrders
+  /** Calls of the databases, or another way to carry out orders. */
+  orders: DatabaseOrders | GiveOrder
   send: (connection: ConnectionName, message: ControlToEntry) => void
   logEvent: LogEvent
   /** Times of the failover that differ from their defaults. */
   failover?: Omit<FailoverOptions, 'blackboard' | 'clock'>
+  /** Creates the controller that changes primaries. Default: the failover that fences databases itself. */
+  createFailover?: (options: FailoverOptions) => Failover
+  /**
+   * - `placed`: a few instances hold the connections of each group, and share out its slots and connections
+   * - `every-instance`: each instance connects to the databases itself
+   * Default: `placed`.
+   */
+  holders?: 'placed' | 'every-instance'
+  /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
+  instanceLostMs?: number
+  /** Whether the directory lists the control members, for instances whose settings may be out of date. Default false. */
+  publishMembers?: boolean
 }
 
 /** A heartbeat that waits for its round. The connection may have a later one by then, which the round does not cover. */
@@ -62,6 +80,8 @@
   /** The connection ended. */
   detach: (connection: ConnectionName) => void
   handle: (connection: ConnectionName, message: EntryToControl) => void
+  /** Takes an announcement that came from a database itself; answers once the control log holds what it must not forget. */
+  announceDatabase: (announcement: Announcement) => Promise<Result<'taken' | 'ignored', ControlLogFailure>>
   /** Called at least every 50 ms. */
   tick: () => void
   summary: () => ControlSummary
@@ -82,15 +102,16 @@
     switching: blackboard.reader(switchingGroupsEntry),
     changes: blackboard.reader(primaryChangesEntry)
   }
-  const instances = createInstanceRegistry({ blackboard, clock })
+  const placesHolders = (options.holders ?? 'placed') === 'placed'
+  const instances = createInstanceRegistry({ blackboard, clock, ...(options.instanceLostMs === undefined ? {} : { lostAfterMs: options.instanceLostMs }) })
   const databases = createDatabaseRegistry({ blackboard, clock })
   const weights = createDatabaseWeights({ blackboard, clock })
   const assignment = createHolderAssignment({ blackboard, clock })
-  const builder = createDirectoryBuilder({ blackboard })
-  const failover = createFailover({ ...options.failover, blackboard, clock })
+  const builder = createDirectoryBuilder({ blackboard, ...(options.publishMembers === true ? { controlMembers: log.memberAddresses } : {}) })
+  const failover = (options.createFailover ?? createFailover)({ ...options.failover, blackboard, clock })
   const lost = createLostInstances()
   const connections = createEntryConnections({ clock, send })
-  const runEffects = createFailoverEffects({ log, orders, logEvent, deliver: failoverOutcome })
+  const runEffects = createFailoverEffects({ log, giveOrder: typeof orders === 'function' ? orders : giveToDatabases(orders), logEvent, deliver: failoverOutcome })
   const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
   let sharesAreStale = true
   let directoryIsStale = true
@@ -105,6 +126,7 @@
 
   function established (): void {
     stateChanged()
+    takeRecorded()
     update()
   }
 
@@ -166,7 +188,33 @@
     const outcome = databases.announce(announcement, ageMs)
     if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
     if (outcome === 'departing') logEvent('databaseDeparting', { database, group })
-    if (outcome === 'announced' || outcome === 'departing' || outcome === 'returned') update()
+    if (outcome === 'role-changed') logEvent('databaseRoleChanged', { database, group, role: announcement.status.role })
+    if (outcome === 'unchanged' || outcome === 'ignored') return
+    update()
+    runEffects(failover.tick())
+    publishSwitches()
+  }
+
+  /** What earlier leaders recorded stands until the databases announce themselves again. */
+  function takeRecorded (): void {
+    for (const record of stateEntry.read().databases) {
+      if (record.state !== 'gone') databases.announce(recordedAnnouncement(record))
+    }
+  }
+
+  async function announceDatabase (announcement: Announcement): Promise<Result<'taken' | 'ignored', ControlLogFailure>> {
+    leadership.refresh()
+    if (leadership.term() === null || !leadership.isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
+    const verdict = judgeAnnouncement(log.state().databases, announcement)
+    if (verdict.kind === 'ignored') return ok('ignored')
+    if (verdict.kind === 'new') {
+      const recorded = await log.propose({ kind: 'record-database', database: verdict.record })
+      if (recorded.isErr()) return err(recorded.error)
+      stateChanged()
+      leadership.refresh()
+    }
+    if (leadership.term() !== null) takeAnnouncement(verdict.announcement, 0)
+    return ok('taken')
   }
 
   function failoverMessage (message: FailoverMessage): void {
@@ -191,7 +239,7 @@
     directoryIsStale = false
     updatedAt = clock.now()
     weights.tick()
-    for (const group of assignment.tick()) logEvent('holdersChanged', { group, holders: (entries.holders.read().get(group) ?? []).join(' ') })
+    for (const group of placesHolders ? assignment.tick() : []) logEvent('holdersChanged', { group, holders: (entries.holders.read().get(group) ?? []).join(' ') })
     publish()
   }
 
@@ -218,7 +266,7 @@
 
   function feedAllocator (): void {
     sharesAreStale = false
-    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read() }))
+    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read(), databaseShares: placesHolders }))
   }
 
   function stateChanged (): void {
@@ -226,8 +274,9 @@
     const state = log.state()
     if (state === last) return
     stateEntry.write(state)
+    if (state.withdrawnDomains !== last.withdrawnDomains || state.databases !== last.databases) directoryIsStale = true
+    if (leadership.term() !== null && (state.manifest !== last.manifest || state.withdrawnDomains !== last.withdrawnDomains)) logFailureDomains(last, state, logEvent)
     if (state.manifestVersion === last.manifestVersion) return
-    if (leadership.term() !== null) logFailureDomains(last.manifest, state.manifest, logEvent)
     sharesAreStale = true
     assignment.invalidate()
   }
@@ -290,5 +339,5 @@
 
   log.onChange(logChanged)
   logChanged()
-  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, tick, summary }
+  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, announceDatabase, tick, summary }
 }
--- a/src/control/failover-effects.ts
+++ b/src/control/failover-effects.ts
@@ -5,9 +5,12 @@
 import type { DatabaseStatus } from '../types/database-status.js'
 import type { LogEvent } from '../types/log-event.js'
 
+/** Carries out one order, by whichever means changes a primary. */
+export type GiveOrder = (order: SentOrder) => Promise<Result<DatabaseStatus, DatabaseFailure>>
+
 export interface FailoverEffectsOptions {
   log: ControlLog
-  orders: DatabaseOrders
+  giveOrder: GiveOrder
   logEvent: LogEvent
   /** Takes the outcome of an order or a proposal. */
   deliver: (message: FailoverMessage) => void
@@ -15,10 +18,10 @@
 
 /** @returns a function that carries out the effects of the failover */
 export function createFailoverEffects (options: FailoverEffectsOptions): (effects: readonly FailoverEffect[]) => void {
-  const { log, orders, logEvent, deliver } = options
+  const { log, giveOrder, logEvent, deliver } = options
 
   function runOrder (order: SentOrder): void {
-    give(orders, order).then((result) => {
+    giveOrder(order).then((result) => {
       if (result.isOk()) deliver({ kind: 'order-answered', order, status: result.value })
       else deliver({ kind: 'order-failed', order, failure: result.error })
     }, (error: unknown) => deliver({ kind: 'order-failed', order, failure: { sqlState: null, message: String(error) } }))
@@ -42,6 +45,11 @@
   }
 }
 
+/** @returns a function that gives orders to the databases themselves */
+export function giveToDatabases (orders: DatabaseOrders): GiveOrder {
+  return (order) => give(orders, order)
+}
+
 function give (orders: DatabaseOrders, { address, action }: SentOrder): Promise<Result<DatabaseStatus, DatabaseFailure>> {
   switch (action.kind) {
     case 'status': return orders.status(address)
--- a/src/control/share-resources.ts
+++ b/src/control/share-resources.ts
@@ -17,15 +17,18 @@
   manifest: Manifest | null
   databases: ReadonlyMap<DatabaseId, RegisteredDatabase>
   holders: ReadonlyMap<GroupId, readonly InstanceId[]>
+  /** Whether slots and connections of databases are shared out; otherwise only rates are. */
+  databaseShares: boolean
 }
 
 /** @returns everything that the share allocator divides: rates of workspaces, slots and connections of databases */
-export function shareResources ({ manifest, databases, holders }: ShareResourceSources): Map<ResourceId, ResourceSize> {
+export function shareResources ({ manifest, databases, holders, databaseShares }: ShareResourceSources): Map<ResourceId, ResourceSize> {
   const resources = new Map<ResourceId, ResourceSize>()
   if (manifest === null) return resources
   for (const { id, rate, burst } of manifest.workspaces) {
     resources.set(resourceId('rate', id), { amount: rate, burst, whole: false, eligible: null })
   }
+  if (!databaseShares) return resources
   const groups = new Map(manifest.groups.map((group) => [group.id, group]))
   for (const [database, { announcement }] of databases) {
     const group = groups.get(announcement.group)
--- a/src/decisions/consensus/cluster-formation.ts
+++ b/src/decisions/consensus/cluster-formation.ts
@@ -36,6 +36,11 @@
     return core.role === 'leader' || (core.leaderHeardAt !== null && now - core.leaderHeardAt < 2 * options.electionTimeoutMaxMs)
   }
 
+  /** Members may have moved since the settings were written, so all that is known of them is asked. */
+  function knownAddresses (): Set<Address> {
+    return new Set([...options.memberAddresses, ...options.seedAddresses(), ...core.log.members().map(({ address }) => address)])
+  }
+
   function tick (): void {
     const now = options.clock.now()
     const probedLately = probedAt !== null && now - probedAt < options.probeMs
@@ -43,7 +48,7 @@
     probedAt = now
     nonce = Math.floor(options.random() * Number.MAX_SAFE_INTEGER)
     emptyMembers = new Map([[options.ownAddress, core.self]])
-    for (const address of options.memberAddresses) {
+    for (const address of knownAddresses()) {
       if (address === options.ownAddress) continue
       effects.send(address, { version: 1, kind: 'probe', from: core.self, fromAddress: options.ownAddress, nonce, cluster: core.log.cluster() })
     }
@@ -61,6 +66,14 @@
       cluster: core.log.cluster()
     }
     effects.afterSync(() => effects.send(message.fromAddress, answer))
+    forwardToLeader(message)
+  }
+
+  /** The member may know no address of the leader. */
+  function forwardToLeader (message: Probe): void {
+    if (message.forwarded === true || core.role === 'leader') return
+    const leader = core.log.members().find(({ member }) => member === core.leader?.member)
+    if (leader !== undefined && leader.address !== message.fromAddress) effects.send(leader.address, { ...message, forwarded: true })
   }
 
   function handleProbeAnswer (message: ProbeAnswer): void {
@@ -70,7 +83,7 @@
   }
 
   function formIfComplete (): void {
-    if (core.log.cluster() !== null || !isFormer()) return
+    if (core.log.cluster() !== null || !options.mayForm || !isFormer()) return
     const members = options.memberAddresses.map((address) => emptyMembers.get(address))
     const known = members.filter((member) => member !== undefined)
     // Two addresses with one member id are a copied folder.
--- a/src/decisions/consensus/consensus-options.ts
+++ b/src/decisions/consensus/consensus-options.ts
@@ -10,6 +10,21 @@
   entryAddress: Address
   /** Addresses of all members, this one included. */
   memberAddresses: readonly Address[]
+  /**
+   * Addresses besides `memberAddresses` at which other members may be found, as they are known now. Default: none.
+   */
+  seedAddresses?: () => readonly Address[]
+  /** Whether this member may form a cluster when all of `memberAddresses` are empty. Default true. */
+  mayForm?: boolean
+  /** Whether the leader takes members from addresses that are not in `memberAddresses`. Default false. */
+  openMembership?: boolean
+  /**
+   * Number of voters above which a silent voter is removed, so that a member that is replaced at another address
+   * doesn't count for majorities any more. Default: no voter is removed for its silence.
+   */
+  targetVoters?: number
+  /** Silence after which a surplus voter is removed. Default 1500: five election timeouts at the shortest. */
+  surplusVoterSilenceMs?: number
   clock: Clock
   /** @returns a number from 0 up to and without 1 */
   random: () => number
@@ -45,6 +60,11 @@
     learnerTimeoutMs: 5000,
     snapshotThreshold: 512,
     entriesPerAppend: 64,
+    seedAddresses: () => [],
+    mayForm: true,
+    openMembership: false,
+    targetVoters: Infinity,
+    surplusVoterSilenceMs: 1500,
     ...options
   }
 }
--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -8,7 +8,7 @@
 import { createLeadershipConfirmation } from './leadership-confirmation.js'
 import type { EffectQueue, MemberCore } from './member-core.js'
 import { isMajority, postponeElection, requestHeader, voters } from './member-core.js'
-import type { JoinRequest, LearnerCondition } from './membership.js'
+import type { JoinRequest, LearnerCondition, MembershipChange } from './membership.js'
 import { changeMembers, nextMembershipChange } from './membership.js'
 import { createReplicationProgress, majorityValue } from './replication-progress.js'
 
@@ -148,11 +148,21 @@
     return matchIndex >= core.commitIndex && silentForMs < options.electionTimeoutMinMs ? 'caught-up' : 'behind'
   }
 
+  /** Without the removal, members that were replaced at other addresses would raise the majority until none is left. */
+  function surplusVoter (members: readonly ControlMember[]): MembershipChange | null {
+    const all = members.filter(({ role }) => role === 'voter')
+    if (all.length <= options.targetVoters) return null
+    const others = all.filter(({ member }) => member !== core.self)
+    const silent = others.filter(({ member }) => options.clock.now() - progress.of(member).heardAt >= options.surplusVoterSilenceMs)
+    silent.sort((left, right) => progress.of(left.member).heardAt - progress.of(right.member).heardAt)
+    return silent[0] === undefined ? null : { kind: 'remove', member: silent[0] }
+  }
+
   function changeMembership (): void {
     // Two memberships that both lack a commit need not share a majority, and neither need those of two leaders.
     if (!isEstablished() || core.log.membershipIndex() > core.commitIndex) return
     const members = core.log.members()
-    const change = nextMembershipChange(members, [...joins.values()], conditionOf)
+    const change = nextMembershipChange(members, [...joins.values()], conditionOf) ?? surplusVoter(members)
     const cluster = core.log.cluster()
     if (change === null || cluster === null) return
     appendEntry({ kind: 'membership', cluster, members: changeMembers(members, change) })
@@ -197,7 +207,8 @@
   }
 
   function handleProbe (message: Probe): void {
-    const isConfigured = options.memberAddresses.includes(message.fromAddress) && message.fromAddress !== options.ownAddress
+    const isAllowed = options.openMembership || options.memberAddresses.includes(message.fromAddress)
+    const isConfigured = isAllowed && message.fromAddress !== options.ownAddress
     const isForeign = message.cluster !== null && message.cluster !== core.log.cluster()
     const isKnown = core.log.members().some((member) => member.member === message.from)
     if (!isConfigured || isForeign || isKnown) return
--- a/src/decisions/failure-domains/database-weights.ts
+++ b/src/decisions/failure-domains/database-weights.ts
@@ -2,7 +2,7 @@
 import { databaseWeightsEntry, registeredDatabasesEntry, replicatedStateEntry } from '../../blackboard/control-instance-entries.js'
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { DatabaseId, FailureDomainId } from '../../types/ids.js'
-import type { Manifest } from '../../types/manifest.js'
+import type { ReplicatedState } from '../../types/replicated-state.js'
 
 /** Time over which a returning database gets back its full weight, in ms. */
 export const WEIGHT_RISE_MS = 10_000
@@ -22,9 +22,10 @@
   reset: () => void
 }
 
-/** @returns the failure domains that the manifest marks `out` */
-export function withdrawnFailureDomains (manifest: Manifest | null): ReadonlySet<FailureDomainId> {
-  return new Set((manifest?.failureDomains ?? []).filter(({ state }) => state === 'out').map(({ id }) => id))
+/** @returns the failure domains that the manifest marks `out` or that were taken out by an order of their own */
+export function withdrawnFailureDomains ({ manifest, withdrawnDomains }: Pick<ReplicatedState, 'manifest' | 'withdrawnDomains'>): ReadonlySet<FailureDomainId> {
+  const marked = (manifest?.failureDomains ?? []).filter(({ state }) => state === 'out').map(({ id }) => id)
+  return new Set([...marked, ...withdrawnDomains])
 }
 
 /** Creates the controller; it writes `databaseWeightsEntry`. */
@@ -52,7 +53,7 @@
   }
 
   function tick (): boolean {
-    const outDomains = withdrawnFailureDomains(replicatedState.read().manifest)
+    const outDomains = withdrawnFailureDomains(replicatedState.read())
     const last = entry.read()
     const weights = new Map<DatabaseId, number>()
     let changed = false
--- a/src/decisions/manifest/apply-command.ts
+++ b/src/decisions/manifest/apply-command.ts
@@ -1,4 +1,4 @@
-import type { Command, CommandAnswer, ReplicatedGroup, ReplicatedState } from '../../types/replicated-state.js'
+import type { Command, CommandAnswer, DatabaseRecord, ReplicatedGroup, ReplicatedState } from '../../types/replicated-state.js'
 import { emptyServiceLevels } from '../../types/service-level.js'
 import { applyServiceLevels } from '../service-levels/service-level-state.js'
 import type { GroupId } from '../../types/ids.js'
@@ -9,18 +9,23 @@
  */
 export const REMEMBERED_DIGESTS = 4096
 
+/** Recorded databases that are remembered; several times the 1,200 of the largest deployment. */
+const REMEMBERED_DATABASES = 8192
+
 export interface AppliedCommand {
   state: ReplicatedState
   answer: CommandAnswer
 }
 
 type CommitManifest = Extract<Command, { kind: 'commit-manifest' }>
+type AdoptManifest = Extract<Command, { kind: 'adopt-manifest' }>
+type SetFailureDomain = Extract<Command, { kind: 'set-failure-domain' }>
 type BeginElection = Extract<Command, { kind: 'begin-election' }>
 type SetPrimary = Extract<Command, { kind: 'set-primary' }>
 
 /** @returns the state before the first command */
 export function emptyReplicatedState (): ReplicatedState {
-  return { manifestVersion: 0, manifest: null, acceptedDigests: [], groups: [], serviceLevels: emptyServiceLevels() }
+  return { manifestVersion: 0, manifest: null, acceptedDigests: [], groups: [], manifestDocument: null, withdrawnDomains: [], databases: [], serviceLevels: emptyServiceLevels() }
 }
 
 /**
@@ -31,6 +36,9 @@
 export function applyCommand (state: ReplicatedState, command: Command): AppliedCommand {
   switch (command.kind) {
     case 'commit-manifest': return commitManifest(state, command)
+    case 'adopt-manifest': return adoptManifest(state, command)
+    case 'set-failure-domain': return setFailureDomain(state, command)
+    case 'record-database': return recordDatabase(state, command.database)
     case 'begin-election': return beginElection(state, command)
     case 'set-primary': return setPrimary(state, command)
     case 'barrier': return { state, answer: { kind: 'barrier-passed' } }
@@ -47,12 +55,45 @@
       ...state,
       manifestVersion,
       manifest: command.manifest,
+      manifestDocument: null,
       acceptedDigests: [...state.acceptedDigests, accepted].slice(-REMEMBERED_DIGESTS)
     },
     answer: { kind: 'manifest-accepted', manifestVersion, resent: false }
   }
 }
 
+function adoptManifest (state: ReplicatedState, command: AdoptManifest): AppliedCommand {
+  const { version, manifest, document, digest, operator } = command
+  if (version <= state.manifestVersion) return { state, answer: { kind: 'manifest-accepted', manifestVersion: version, resent: true } }
+  return {
+    state: {
+      ...state,
+      manifestVersion: version,
+      manifest,
+      manifestDocument: document,
+      acceptedDigests: [...state.acceptedDigests, { version, digest, operator }].slice(-REMEMBERED_DIGESTS)
+    },
+    answer: { kind: 'manifest-accepted', manifestVersion: version, resent: false }
+  }
+}
+
+function setFailureDomain (state: ReplicatedState, { failureDomain, out }: SetFailureDomain): AppliedCommand {
+  const others = state.withdrawnDomains.filter((domain) => domain !== failureDomain)
+  return { state: { ...state, withdrawnDomains: out ? [...others, failureDomain] : others }, answer: { kind: 'failure-domain-set' } }
+}
+
+/** An earlier run of a database changes nothing, and neither does a return of the run that has said that it ends. */
+function recordDatabase (state: ReplicatedState, record: DatabaseRecord): AppliedCommand {
+  const answer: CommandAnswer = { kind: 'database-recorded' }
+  const known = state.databases.find(({ database }) => database === record.database)
+  if (known !== undefined && known.startedAt > record.startedAt) return { state, answer }
+  if (known?.startedAt === record.startedAt && known.state === 'gone') return { state, answer }
+  // A later run at an address has replaced the database that was there before.
+  const isReplaced = ({ address, startedAt }: DatabaseRecord): boolean => address === record.address && startedAt < record.startedAt
+  const others = state.databases.filter((other) => other.database !== record.database && !isReplaced(other))
+  return { state: { ...state, databases: [...others, record].slice(-REMEMBERED_DATABASES) }, answer }
+}
+
 function answerToOtherBase (state: ReplicatedState, command: CommitManifest): CommandAnswer {
   const version = command.base + 1
   const accepted = state.acceptedDigests.find((entry) => entry.version === version)
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -4,7 +4,7 @@
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import { milliseconds } from '../../types/clock.js'
 import type { DatabaseObservation } from '../../types/control-message.js'
-import type { Announcement, DatabaseStatus } from '../../types/database-status.js'
+import type { Announcement, DatabaseRun, DatabaseStatus } from '../../types/database-status.js'
 import type { DatabaseId } from '../../types/ids.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
@@ -23,9 +23,10 @@
 /**
  * - `announced`: first announcement, or a new address
  * - `departing`, `returned`: the departing state changed
+ * - `role-changed`: the database of the same run says that it has another role
  * - `ignored`: an announcement of a replaced incarnation
  */
-export type AnnouncementOutcome = 'announced' | 'departing' | 'returned' | 'unchanged' | 'ignored'
+export type AnnouncementOutcome = 'announced' | 'role-changed' | 'departing' | 'returned' | 'unchanged' | 'ignored'
 
 /** Databases as they announce themselves. There is no list of databases. */
 export interface DatabaseRegistry {
@@ -70,6 +71,7 @@
     const now = milliseconds(clock.now() - ageMs)
     // A repeated announcement must not replace what was heard since, nor count as a new sign of life.
     if (known !== undefined && now < known.announcedAt) return 'ignored'
+    if (announcement.run !== undefined) return announceRun(announcement, announcement.run, now)
     if (!isCurrent(known, status)) return 'ignored'
     if (announcement.departing) departingSeen.set(database, now)
     const departing = now - (departingSeen.get(database) ?? -Infinity) < DEPARTING_HOLD_MS
@@ -78,6 +80,24 @@
     return outcomeOf(known, announcement, departing)
   }
 
+  /** Runs and their announcements are ordered by the database itself. */
+  function announceRun (announcement: Announcement, run: DatabaseRun, now: Milliseconds): AnnouncementOutcome {
+    const { database, departing, status } = announcement
+    const known = databases.get(database)
+    const last = known?.announcement.run
+    if (last !== undefined && (run.startedAt < last.startedAt || (run.startedAt === last.startedAt && run.sequence <= last.sequence))) return 'ignored'
+    if (run.gone) {
+      databases.delete(database)
+      entry.write(databases)
+      return known === undefined ? 'ignored' : 'departing'
+    }
+    databases.set(database, { announcement, departing, announcedAt: now, status, statusAt: now })
+    entry.write(databases)
+    const outcome = outcomeOf(known, announcement, departing)
+    const isRoleNew = known !== undefined && known.announcement.status.role !== status.role
+    return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
+  }
+
   function update (status: DatabaseStatus, statusAt: Milliseconds): void {
     const known = databases.get(status.database)
     if (known === undefined || statusAt < known.statusAt || !isCurrent(known, status)) return
--- a/src/decisions/membership/directory-builder.ts
+++ b/src/decisions/membership/directory-builder.ts
@@ -4,10 +4,12 @@
   replicatedStateEntry, switchingGroupsEntry
 } from '../../blackboard/control-instance-entries.js'
 import type { Directory, DirectoryDatabase, DirectoryGroup, DirectoryInstance } from '../../types/directory.js'
-import type { GroupId } from '../../types/ids.js'
+import type { Address, GroupId } from '../../types/ids.js'
 
 export interface DirectoryBuilderOptions {
   blackboard: Blackboard
+  /** @returns addresses of the control members that instances can't know from their settings. Default: none. */
+  controlMembers?: () => Address[]
 }
 
 /** Builds what the leader publishes to every instance. */
@@ -21,14 +23,14 @@
   reset: () => void
 }
 
-type Content = Omit<Directory, 'version'>
+type Content = Required<Omit<Directory, 'version'>>
 
 /** Creates the builder; it writes `publishedDirectoryEntry`. */
 export function createDirectoryBuilder (options: DirectoryBuilderOptions): DirectoryBuilder {
   const { blackboard } = options
   const entry = blackboard.claim(publishedDirectoryEntry, 'directory-builder')
   const leadership = blackboard.reader(leadershipEntry)
-  const readContent = contentReader(blackboard)
+  const readContent = contentReader(blackboard, options.controlMembers ?? (() => []))
 
   function build (): Directory | null {
     const leading = leadership.read()
@@ -44,7 +46,7 @@
   return { build, reset: () => entry.write(null) }
 }
 
-function contentReader (blackboard: Blackboard): () => Content {
+function contentReader (blackboard: Blackboard, controlMembers: () => Address[]): () => Content {
   const instances = blackboard.reader(registeredInstancesEntry)
   const databases = blackboard.reader(registeredDatabasesEntry)
   const weights = blackboard.reader(databaseWeightsEntry)
@@ -78,7 +80,7 @@
 
   return () => {
     const groups = groupsOf()
-    return { instances: instancesOf(), groups, databases: databasesOf(new Set(groups.map(({ group }) => group))) }
+    return { instances: instancesOf(), groups, databases: databasesOf(new Set(groups.map(({ group }) => group))), controlMembers: controlMembers() }
   }
 }
 
@@ -86,8 +88,9 @@
   return items.sort((left, right) => nameOf(left) < nameOf(right) ? -1 : 1)
 }
 
-function isSameContent (left: Content, right: Content): boolean {
-  return isSameList(left.groups, right.groups, isSameGroup) &&
+function isSameContent (left: Omit<Directory, 'version'>, right: Content): boolean {
+  return isSameList(left.controlMembers ?? [], right.controlMembers, Object.is) &&
+    isSameList(left.groups, right.groups, isSameGroup) &&
     isSameList(left.databases, right.databases, isSameRecord) &&
     isSameList(left.instances, right.instances, isSameRecord)
 }
--- a/src/decisions/membership/holder-assignment.ts
+++ b/src/decisions/membership/holder-assignment.ts
@@ -45,7 +45,7 @@
   }
 
   function candidates (): HolderCandidate[] {
-    const out = withdrawnFailureDomains(state.read().manifest)
+    const out = withdrawnFailureDomains(state.read())
     return [...instances.read().values()].filter(({ draining, failureDomain }) => !draining && !out.has(failureDomain))
   }
 
--- /dev/null
+++ b/src/decisions/promotion/advance-group.ts
@@ -0,0 +1,294 @@
+import type { Milliseconds } from '../../types/clock.js'
+import { addTime } from '../../types/clock.js'
+import { holdsDirectory } from '../../types/directory-version.js'
+import type { DatabaseId } from '../../types/ids.js'
+import { compareLogPositions, isAtOrPast } from '../../types/log-position.js'
+import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
+import { memberOf } from '../failover/group-view.js'
+import type { GroupMember, GroupView } from '../failover/group-view.js'
+import { chooseCandidate } from './choose-candidate.js'
+import type { Candidate } from './choose-candidate.js'
+import { judgePrimary } from './primary-evidence.js'
+import type { PromotionTimes } from './promotion-options.js'
+import type { KnownStatus, PromotionPlan, PromotionRecord, PromotionStep, StopOrder } from './promotion-step.js'
+
+/** One group at one moment, with the effects that are collected for it. */
+export interface PromotionContext {
+  view: GroupView
+  record: PromotionRecord
+  times: PromotionTimes
+  /** Whether the databases of the group acknowledge a commit only after a replica has received it. */
+  waitsForReplicas: boolean
+  effects: FailoverEffect[]
+}
+
+type Step<Kind extends PromotionStep['kind']> = Extract<PromotionStep, { kind: Kind }>
+
+/** Takes the next steps of a group, as far as its state allows. */
+export function advanceGroup (context: PromotionContext): void {
+  const { view, record } = context
+  noteService(context)
+  const { step } = record
+  const isOvertaken = step.kind !== 'idle' && step.kind !== 'beginning' && view.replicated.term > step.term
+  if (isOvertaken) record.step = { kind: 'idle' }
+  let last = null
+  // A step that ends makes way for the next one at once, as writes wait.
+  while (last !== record.step) {
+    last = record.step
+    advanceStep(context)
+  }
+}
+
+function advanceStep (context: PromotionContext): void {
+  const { step } = context.record
+  switch (step.kind) {
+    case 'idle': return advanceIdle(context)
+    case 'switching': return advanceSwitching(context, step)
+    case 'beginning': return
+    case 'electing': return advanceElecting(context, step)
+    case 'promoting': return advancePromoting(context, step)
+    case 'recording': return advanceRecording(context, step)
+  }
+}
+
+function noteService ({ view, record }: PromotionContext): void {
+  const { replicated, now } = view
+  if (replicated.phase !== 'serving' || replicated.primary === null) return
+  if (record.serving?.term !== replicated.term) record.serving = { term: replicated.term, since: now }
+}
+
+function planOf ({ view, record }: PromotionContext, cause: PromotionPlan['cause']): PromotionPlan {
+  const { replicated } = view
+  // A term that was begun and not finished has released every term before it.
+  const oldTerm = replicated.phase === 'serving' ? replicated.term : Math.max(record.serving?.term ?? 0, replicated.term - 1)
+  return { cause, oldTerm, oldPrimary: replicated.primary, preferred: null, startedAt: view.now }
+}
+
+function advanceIdle (context: PromotionContext): void {
+  const { view, record, times } = context
+  const { replicated } = view
+  if (replicated.phase === 'electing') return beginElection(context, planOf(context, 'interrupted'))
+  if (replicated.primary === null) return startGroup(context)
+  if (record.serving === null || view.members.length === 0) return
+  const primary = memberOf(view, replicated.primary)
+  const isKnownLongEnough = view.now - Math.max(record.serving.since, view.leadership.since) >= times.primarySilentMs
+  if (primary === undefined) {
+    if (isKnownLongEnough) beginElection(context, planOf(context, 'lost'))
+    return
+  }
+  if (hasMoved(context, primary)) return beginElection(context, planOf(context, 'moved'))
+  if (isKnownLongEnough && isPrimaryLost(context, primary)) return beginElection(context, planOf(context, 'lost'))
+  if (primary.weight === 0 && view.now >= record.switchoversFrom) beginSwitchover(context, primary)
+}
+
+/** The announcement must be newer than the term: before, the database was not yet promoted. */
+function hasMoved ({ view, record }: PromotionContext, primary: GroupMember): boolean {
+  const { announcement, announcedAt } = primary.registered
+  const isRecorded = (announcement.run?.sequence ?? 0) < 0
+  return !isRecorded && announcement.status.role === 'replica' && announcedAt > (record.serving?.since ?? view.now)
+}
+
+function isPrimaryLost (context: PromotionContext, primary: GroupMember): boolean {
+  const { view, record, times } = context
+  const evidence = judgePrimary(view, times)
+  if (evidence === 'alive') return false
+  if (evidence === 'lost') return true
+  if (evidence === 'cut-off') return view.members.some(({ database, weight }) => database !== primary.database && weight > 0)
+  if (view.now - record.probedAt >= times.orderRetryMs) {
+    record.probedAt = view.now
+    order(context, primary, { kind: 'status' })
+  }
+  const answeredAt = record.statuses.get(primary.database)?.askedAt ?? -Infinity
+  const failedAt = record.failedAt.get(primary.database) ?? -Infinity
+  const silentSince = Math.max(primary.registered.announcedAt, answeredAt)
+  return failedAt > answeredAt && view.now - silentSince >= times.announcementMs * 2 + times.primarySilentMs
+}
+
+/** Takes over the primary that runs; only a group without one for some time gets one by promotion. */
+function startGroup (context: PromotionContext): void {
+  const { view, record, times } = context
+  if (view.members.length === 0) return
+  record.knownSince ??= view.now
+  const running = view.members.some(({ registered }) => registered.announcement.status.role === 'primary')
+  if (running || view.now - record.knownSince >= times.firstStartWaitMs) beginElection(context, planOf(context, 'first'))
+}
+
+function beginSwitchover (context: PromotionContext, primary: GroupMember): void {
+  const { view, record, times } = context
+  const targets = view.members.filter(({ database, weight, registered }) =>
+    database !== primary.database && weight > 0 && view.now - registered.announcedAt < times.announcementMs * 2 && !isSilent(context, database))
+  const target = targets[0]
+  if (target === undefined) return
+  record.step = { kind: 'switching', term: view.replicated.term, primary: primary.database, target: target.database, startedAt: view.now, stop: null, releasedAt: null, queriedAt: longAgo(view.now) }
+  context.effects.push({ kind: 'log', name: 'switchoverBegan', details: { group: view.group, term: view.replicated.term, from: primary.database, to: target.database } })
+}
+
+function isSilent ({ view }: PromotionContext, database: DatabaseId): boolean {
+  return [...view.instances.values()].some((instance) => (instance.observations.get(database)?.silentForMs ?? 0) > 0)
+}
+
+const longAgo = (now: Milliseconds): Milliseconds => addTime(now, -60_000)
+
+function advanceSwitching (context: PromotionContext, step: Step<'switching'>): void {
+  const { view, record, times } = context
+  const primary = memberOf(view, step.primary)
+  if (primary?.weight !== 0) {
+    record.step = { kind: 'idle' }
+    record.switchoversFrom = addTime(view.now, times.switchoverBoundMs)
+    context.effects.push({ kind: 'log', name: 'switchoverEnded', details: { group: view.group, term: step.term, completed: false, reason: 'no longer needed or possible' } })
+    return
+  }
+  if (step.stop === null) return
+  const isOverdue = view.now - step.startedAt >= times.switchoverBoundMs * 2
+  if (step.releasedAt === null && areAllReleased(context, step.term, step.stop)) step.releasedAt = view.now
+  if (step.releasedAt === null && view.now - step.startedAt < times.switchoverBoundMs) return
+  const plan: PromotionPlan = { cause: 'planned', oldTerm: step.term, oldPrimary: step.primary, preferred: step.target, startedAt: step.startedAt }
+  const caughtUp = step.releasedAt === null ? undefined : caughtUpTarget(context, step, step.releasedAt)
+  if (caughtUp !== undefined) return beginElection(context, { ...plan, preferred: caughtUp })
+  if (isOverdue) return beginElection(context, plan)
+  if (view.now - step.queriedAt < times.positionQueryMs) return
+  step.queriedAt = view.now
+  for (const member of view.members) {
+    if (member.database === step.primary || member.weight > 0) order(context, member, { kind: 'status' })
+  }
+}
+
+/** @returns a database that holds everything the primary held after the last write of the term */
+function caughtUpTarget ({ view, record }: PromotionContext, step: Step<'switching'>, releasedAt: Milliseconds): DatabaseId | undefined {
+  const primary = record.statuses.get(step.primary)
+  if (primary === undefined || primary.askedAt < releasedAt || primary.status.role !== 'primary') return undefined
+  const holding = view.members.filter(({ database, weight }) => {
+    const known = record.statuses.get(database)
+    return database !== step.primary && weight > 0 && known !== undefined && known.askedAt >= releasedAt && isAtOrPast(known.status.position, primary.status.position)
+  })
+  return (holding.find(({ database }) => database === step.target) ?? holding[0])?.database
+}
+
+/** Instances without a heartbeat for one lease are no longer registered. An instance that joined later holds no older lease. */
+function areAllReleased ({ view, times }: PromotionContext, term: number, stop: StopOrder): boolean {
+  // Instances that a former leader knew may not have reported yet; their leases have run out after this time.
+  const isNewLeader = view.now - view.leadership.since < times.leaseEndMs
+  // Leases are renewed only with the directory that tells to stop, so every older one has run out by then.
+  if (view.now - stop.publishedAt >= times.leaseEndMs) return true
+  if (isNewLeader) return false
+  return [...view.instances.values()].every(({ directoryVersion, releasedTerms }) =>
+    holdsDirectory(directoryVersion, stop.version) && releasedTerms.some((released) => released.group === view.group && released.term >= term))
+}
+
+/** Proposes the next term. The log refuses a term that is not new, so each term belongs to the one leader whose proposal was accepted. */
+function beginElection (context: PromotionContext, plan: PromotionPlan): void {
+  const { view, record, times } = context
+  if (view.now < record.electionsFrom || record.isProposing) return
+  record.electionsFrom = addTime(view.now, times.electionPauseMs)
+  const term = view.replicated.term + 1
+  record.step = { kind: 'beginning', term, plan }
+  record.isProposing = true
+  context.effects.push({ kind: 'propose', leaderTerm: view.leadership.term, command: { kind: 'begin-election', group: view.group, term } })
+}
+
+/** The term is committed and belongs to this leader. */
+export function electionBegan (context: PromotionContext, term: number, plan: PromotionPlan): void {
+  const { view, record } = context
+  record.step = { kind: 'electing', term, plan, stop: null, releasedAt: null, queriedAt: longAgo(view.now), answeredAt: null }
+  if (plan.cause !== 'planned') context.effects.push({ kind: 'log', name: 'failoverBegan', details: { group: view.group, term, cause: plan.cause, oldPrimary: plan.oldPrimary } })
+}
+
+function advanceElecting (context: PromotionContext, step: Step<'electing'>): void {
+  const { view, record, times } = context
+  if (step.stop === null) return
+  const running = view.members.find(({ registered }) => registered.announcement.status.role === 'primary')
+  if (step.plan.cause === 'first' && running !== undefined) {
+    // No promotion was ever ordered, so none can be carried out late.
+    record.step = { kind: 'recording', term: step.term, plan: step.plan, database: running.database }
+    return
+  }
+  const hadPrimary = step.plan.oldTerm > 0 || step.plan.cause === 'interrupted'
+  if (step.releasedAt === null && (!hadPrimary || areAllReleased(context, step.plan.oldTerm, step.stop))) step.releasedAt = view.now
+  if (step.releasedAt === null) return
+  const { releasedAt } = step
+  const target = step.plan.preferred ?? electionTarget(context, step, releasedAt)
+  if (target !== undefined) {
+    record.step = { kind: 'promoting', term: step.term, plan: step.plan, target, startedAt: view.now, orderedAt: null, accepted: false, refused: false, queriedAt: longAgo(view.now) }
+    return
+  }
+  if (view.now - step.queriedAt < times.orderRetryMs) return
+  step.queriedAt = view.now
+  for (const member of view.members) order(context, member, { kind: 'status' })
+}
+
+function electionTarget (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
+  const { view, record, times, waitsForReplicas } = context
+  const isOld = (member: GroupMember): boolean => step.plan.cause === 'lost' && member.database === step.plan.oldPrimary
+  const asked = view.members.filter((member) => !isOld(member))
+  const candidates = asked.flatMap((member): Candidate[] => {
+    const known = record.statuses.get(member.database)
+    return known !== undefined && known.askedAt >= releasedAt ? [{ member, known }] : []
+  })
+  if (candidates.length === 0) return undefined
+  step.answeredAt ??= view.now
+  const isComplete = candidates.length === asked.length
+  // Only the replica that is missing may hold the last acknowledged commit.
+  if (!isComplete && waitsForReplicas && step.plan.oldTerm > 0) return undefined
+  if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
+  return chooseCandidate(candidates, step.plan, waitsForReplicas)
+}
+
+function advancePromoting (context: PromotionContext, step: Step<'promoting'>): void {
+  const { view, record, times } = context
+  const target = memberOf(view, step.target)
+  if (target === undefined || step.refused) return beginElection(context, { ...step.plan, preferred: null, cause: step.plan.cause === 'planned' ? 'interrupted' : step.plan.cause })
+  if (step.accepted && isPrimaryNow(record, target, step.orderedAt)) {
+    record.step = { kind: 'recording', term: step.term, plan: step.plan, database: step.target }
+    return
+  }
+  const failedAt = record.failedAt.get(step.target)
+  const seemsDead = failedAt !== undefined && failedAt > step.startedAt && view.now - target.registered.announcedAt > times.announcementMs * 2
+  if (seemsDead || (step.accepted && view.now - step.startedAt >= times.promotionGiveUpMs)) {
+    return beginElection(context, { ...step.plan, preferred: null, cause: step.plan.cause === 'planned' ? 'interrupted' : step.plan.cause })
+  }
+  if (!step.accepted && (step.orderedAt === null || view.now - step.orderedAt >= times.orderRetryMs)) {
+    step.orderedAt = view.now
+    order(context, target, { kind: 'promote', term: step.term })
+  }
+  const saysPrimary = target.registered.announcement.status.role === 'primary'
+  const queriedFrom = saysPrimary ? step.queriedAt : Math.max(step.queriedAt, step.startedAt)
+  if (view.now - queriedFrom < times.orderRetryMs) return
+  step.queriedAt = view.now
+  order(context, target, { kind: 'status' })
+}
+
+/** The role is known from an announcement, which a database makes at once, or from a status that was asked for since. */
+function isPrimaryNow (record: PromotionRecord, target: GroupMember, orderedAt: Milliseconds | null): boolean {
+  const { announcement, announcedAt } = target.registered
+  if (announcement.status.role === 'primary' && announcedAt >= (orderedAt ?? Infinity)) return true
+  const known = record.statuses.get(target.database)
+  return known !== undefined && known.askedAt >= (orderedAt ?? Infinity) && known.status.role === 'primary'
+}
+
+function advanceRecording (context: PromotionContext, step: Step<'recording'>): void {
+  const { view, record } = context
+  const { replicated } = view
+  if (replicated.term === step.term && replicated.phase === 'electing') {
+    if (record.isProposing) return
+    record.isProposing = true
+    context.effects.push({ kind: 'propose', leaderTerm: view.leadership.term, command: { kind: 'set-primary', group: view.group, term: step.term, database: step.database } })
+    return
+  }
+  if (replicated.term < step.term) return
+  record.step = { kind: 'idle' }
+  const planned = step.plan.cause === 'planned'
+  const details = { group: view.group, term: step.term, primary: step.database, cause: step.plan.cause, gapMs: Math.round(view.now - step.plan.startedAt) }
+  context.effects.push({ kind: 'log', name: planned ? 'switchoverEnded' : 'failoverEnded', details })
+}
+
+function order ({ view, effects }: PromotionContext, member: GroupMember, action: DatabaseAction): void {
+  effects.push({ kind: 'order', order: { group: view.group, database: member.database, address: member.address, leaderTerm: view.leadership.term, sentAt: view.now, action } })
+}
+
+/** Keeps the newest status of a database. */
+export function noteStatus (record: PromotionRecord, database: DatabaseId, known: KnownStatus): void {
+  const last = record.statuses.get(database)
+  if (last !== undefined && last.askedAt > known.askedAt) return
+  if (last !== undefined && last.askedAt === known.askedAt && compareLogPositions(last.status.position, known.status.position) > 0) return
+  record.statuses.set(database, known)
+}
--- /dev/null
+++ b/src/decisions/promotion/primary-evidence.ts
@@ -0,0 +1,42 @@
+import type { RegisteredInstance } from '../../blackboard/control-instance-entries.js'
+import type { DatabaseId } from '../../types/ids.js'
+import { memberOf } from '../failover/group-view.js'
+import type { GroupView } from '../failover/group-view.js'
+import type { PromotionTimes } from './promotion-options.js'
+
+/** Heartbeats may miss, so an instance counts while it is not older than this many milliseconds: three heartbeat intervals. */
+const REPORT_AGE_MS = 1500
+
+/**
+ * - `alive`: instances or announcements prove that the primary answers
+ * - `doubtful`: nothing proves it; a status query tells more
+ * - `cut-off`: it announces itself, but most instances that use it get no answer
+ * - `lost`: most instances that use it get no answer, and it has not announced itself since
+ */
+export type PrimaryEvidence = 'alive' | 'doubtful' | 'cut-off' | 'lost'
+
+/** Judges a primary from what instances and the database itself reported. */
+export function judgePrimary (view: GroupView, times: PromotionTimes): PrimaryEvidence {
+  const { primary } = view.replicated
+  const member = memberOf(view, primary)
+  if (primary === null) return 'lost'
+  const announcedMsAgo = member === undefined ? Infinity : view.now - member.registered.announcedAt
+  const reports = [...view.instances.values()].map((instance) => silenceOf(view, instance, primary)).filter((silence) => silence !== null)
+  const silent = reports.filter((silence) => silence >= times.primarySilentMs).sort((left, right) => left - right)
+  const mostAreSilent = silent.length > 0 && silent.length * 2 > reports.length
+  if (mostAreSilent) {
+    // The shortest of the silences that make the majority: an announcement since then speaks against a crash.
+    const since = silent[0] ?? 0
+    if (announcedMsAgo >= since) return 'lost'
+    return since >= times.primarySilentMs * 2 ? 'cut-off' : 'doubtful'
+  }
+  if (reports.length > silent.length) return 'alive'
+  return announcedMsAgo <= times.announcementMs * 2 ? 'alive' : 'doubtful'
+}
+
+/** @returns how long an instance has had no answer, 0 while it gets answers, or null when it tells nothing */
+function silenceOf (view: GroupView, instance: RegisteredInstance, database: DatabaseId): number | null {
+  const observation = instance.observations.get(database)
+  if (observation === undefined || view.now - instance.lastHeartbeatAt > REPORT_AGE_MS) return null
+  return observation.silentForMs === 0 ? 0 : observation.silentForMs + (view.now - observation.arrivedAt)
+}
--- a/src/settings/check-manifest.ts
+++ b/src/settings/check-manifest.ts
@@ -25,8 +25,12 @@
   return values.flatMap((value, index) => names.has(value) ? [] : [{ path: pathOf(index), message: `there is no ${kind} ${value}` }])
 }
 
-function findProblems (manifest: Manifest): CheckProblem[] {
-  const { failureDomains, groups, workspaces, routes } = manifest
+/**
+ * Checks the references between the parts of a manifest.
+ * @returns every name that is repeated or refers to nothing
+ */
+export function findManifestProblems (manifest: Manifest): CheckProblem[] {
+  const { failureDomains, groups, workspaces, routes, endpoints = [] } = manifest
   const keys = workspaces.flatMap((workspace, workspaceIndex) => workspace.keys.map((key, keyIndex) => ({ key, path: `workspaces[${workspaceIndex}].keys[${keyIndex}]` })))
   return [
     ...findRepeated(failureDomains.map((domain) => domain.id), (index) => `failureDomains[${index}].id`),
@@ -36,6 +40,8 @@
     ...findRepeated(keys.map(({ key }) => key.id), (index) => `${keys[index]?.path}.id`),
     ...findRepeated(keys.map(({ key }) => key.digest), (index) => `${keys[index]?.path}.digest`),
     ...findUnknown(workspaces.map((workspace) => workspace.group), groups.map((group) => group.id), 'group', (index) => `workspaces[${index}].group`),
+    ...findRepeated(endpoints.map((endpoint) => `${endpoint.name} ${endpoint.path}`), (index) => `endpoints[${index}].name`),
+    ...findUnknown(endpoints.map((endpoint) => endpoint.group), groups.map((group) => group.id), 'group', (index) => `endpoints[${index}].group`),
     ...findUnknown(routes.map((route) => route.workspace), workspaces.map((workspace) => workspace.id), 'workspace', (index) => `routes[${index}].workspace`)
   ]
 }
@@ -49,7 +55,7 @@
 export function checkManifest (document: unknown, lineOf?: LineOf): Result<Manifest, CheckProblem[]> {
   const parsed = manifestSchema.safeParse(document)
   if (!parsed.success) return err(problemsOf(parsed.error.issues, lineOf))
-  const problems = findProblems(parsed.data)
+  const problems = findManifestProblems(parsed.data)
   if (problems.length === 0) return ok(parsed.data)
   return err(lineOf === undefined ? problems : problems.map((problem) => ({ ...problem, line: lineOf(splitPath(problem.path)) })))
 }
--- a/src/settings/manifest-schema.ts
+++ b/src/settings/manifest-schema.ts
@@ -28,7 +28,24 @@
 const group = z.strictObject({
   id: name.transform(groupId).describe('Name of the database group, as its databases announce it.'),
   slots: z.int().min(1).describe('Statements that each database runs at a time.'),
-  connections: z.int().min(4).describe('Connections that each database accepts from catkinrelay.')
+  connections: z.int().min(4).describe('Connections that each database accepts from catkinrelay.'),
+  acknowledgingReplicas: z.int().min(0).optional().describe('Replicas that the databases wait for before they acknowledge a commit; default 0.')
+})
+
+const endpoint = z.strictObject({
+  name: name.describe('Name that the caller gives when it opens a session.'),
+  path: z.string().default('/').describe('Tells endpoints of one name apart; default `/`.'),
+  group: name.transform(groupId).describe('Database group that serves the sessions.'),
+  consistency: z.enum(['primary', 'bounded-staleness', 'read-your-writes']).describe('What reads of a session must see.'),
+  maxStalenessMs: z.number().min(0).default(0).describe('Oldest data that a read may return in milliseconds; default 0.'),
+  statementTimeoutMs: z.number().positive().describe('Longest time of one statement in milliseconds.'),
+  objectiveMs: z.number().positive().describe('Time in which an operation should be answered in milliseconds.'),
+  priority: z.int().min(0).default(0).describe('0 is served first; default 0.'),
+  open: z.boolean().default(false).describe('Whether the endpoint needs no key; default false.')
+})
+
+const sessionLimits = z.strictObject({
+  idleTransactionMs: z.number().positive().describe('A transaction that runs no statement for this long may be ended, in milliseconds.')
 })
 
 const route = z.strictObject({
@@ -50,5 +67,7 @@
   failureDomains: z.array(failureDomain).min(1).describe('Failure domains and whether they get work.'),
   groups: z.array(group).min(1).describe('Database groups and what each of their databases can take.'),
   workspaces: z.array(workspace).describe('Workspaces with their limits and keys.'),
-  routes: z.array(route).prefault([]).describe('Statements that callers run by name; default none.')
+  routes: z.array(route).prefault([]).describe('Statements that callers run by name; default none.'),
+  endpoints: z.array(endpoint).optional().describe('Named databases on which callers open sessions over a connection; default none.'),
+  sessionLimits: sessionLimits.optional().describe('Limits of sessions over a connection.')
 })
--- a/src/types/consensus-message.ts
+++ b/src/types/consensus-message.ts
@@ -89,6 +89,8 @@
   nonce: number
   /** Null: the member's folder is empty. */
   cluster: ClusterId | null
+  /** Set by a member that passes the probe on to its leader; a forwarded probe is not passed on again. */
+  forwarded?: boolean
 }
 
 /** Tells the member that sent a probe whether the own folder is empty. */
--- a/src/types/control-log.ts
+++ b/src/types/control-log.ts
@@ -15,6 +15,8 @@
   leaderAddress: () => Address | null
   /** @returns the current term of the log */
   term: () => number
+  /** @returns addresses of the voters, by the newest membership known here */
+  memberAddresses: () => Address[]
   /** @returns state derived from all committed entries that were applied here */
   state: () => ReplicatedState
   /** Appends a command; resolves after a majority has synced it and it was applied here. */
--- a/src/types/database-status.ts
+++ b/src/types/database-status.ts
@@ -19,6 +19,16 @@
   ageMs: number
 }
 
+/** One run of a database process, and the place of an announcement in it. */
+export interface DatabaseRun {
+  /** Start of the run in milliseconds of the database's time of day. A later run replaces an earlier one of the same name. */
+  startedAt: number
+  /** Rises with each announcement of the run. */
+  sequence: number
+  /** The run said that it ends; it serves nothing any more. */
+  gone: boolean
+}
+
 /** Body of `POST /v1/announcements`, repeated by each database every second. */
 export interface Announcement {
   database: DatabaseId
@@ -26,5 +36,7 @@
   address: Address
   failureDomain: FailureDomainId
   departing: boolean
+  /** Orders announcements of a database whose delivery may be late; absent: the order of arrival counts. */
+  run?: DatabaseRun
   status: DatabaseStatus
 }
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -46,4 +46,6 @@
   instances: DirectoryInstance[]
   groups: DirectoryGroup[]
   databases: DirectoryDatabase[]
+  /** Addresses of the control members; empty when the settings of the instances name them. */
+  controlMembers?: Address[]
 }
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -41,6 +41,7 @@
   failoverEnded: { event: 405, name: 'failover-ended', level: 'info', meaning: 'A new primary serves the group.' },
   switchoverBegan: { event: 406, name: 'switchover-began', level: 'info', meaning: 'A planned change of primary began.' },
   switchoverEnded: { event: 407, name: 'switchover-ended', level: 'info', meaning: 'A planned change of primary ended.' },
+  databaseRoleChanged: { event: 410, name: 'database-role-changed', level: 'info', meaning: 'A database announced that it has another role.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
--- a/src/types/manifest.ts
+++ b/src/types/manifest.ts
@@ -36,6 +36,42 @@
   slots: number
   /** Connections that each database accepts from catkinrelay. */
   connections: number
+  /** Replicas that the databases wait for before they acknowledge a commit; default 0. */
+  acknowledgingReplicas?: number | undefined
+}
+
+/**
+ * What a session may read.
+ * - `primary`: every commit acknowledged before the read
+ * - `bounded-staleness`: every commit acknowledged more than `maxStalenessMs` before the read
+ * - `read-your-writes`: the same, and every commit of the session
+ */
+export type ReadConsistency = 'primary' | 'bounded-staleness' | 'read-your-writes'
+
+/** A named database on which callers open sessions over a connection. */
+export interface SessionEndpoint {
+  /** Name that the caller gives when it opens the session. */
+  name: string
+  /** Endpoints of one name differ in their paths; a session that names none takes the shortest. */
+  path: string
+  group: GroupId
+  consistency: ReadConsistency
+  /** Oldest data that a read may return, in milliseconds; 0 on `primary` endpoints. */
+  maxStalenessMs: number
+  /** Longest time of one statement in milliseconds. */
+  statementTimeoutMs: number
+  /** Time in which an operation should be answered, in milliseconds. */
+  objectiveMs: number
+  /** 0 is served first. */
+  priority: number
+  /** Whether the endpoint needs no key. */
+  open: boolean
+}
+
+/** Limits of connection-oriented sessions. */
+export interface SessionLimits {
+  /** A transaction that runs no statement for this long may be ended, in milliseconds. */
+  idleTransactionMs: number
 }
 
 /** A statement that callers run by name. */
@@ -61,4 +97,6 @@
   groups: DatabaseGroup[]
   workspaces: Workspace[]
   routes: Route[]
+  endpoints?: SessionEndpoint[] | undefined
+  sessionLimits?: SessionLimits | undefined
 }
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -1,10 +1,15 @@
-import type { DatabaseId, GroupId } from './ids.js'
+import type { Address, DatabaseId, FailureDomainId, GroupId } from './ids.js'
 import type { Manifest } from './manifest.js'
 import type { ServiceLevelCommand, ServiceLevelState } from './service-level.js'
 
 /** A change that the replicated log carries. */
 export type Command =
   | { kind: 'commit-manifest', base: number, manifest: Manifest, digest: string, operator: string }
+  /** The highest version wins; a version that is not higher changes nothing and is accepted as a resend. */
+  | { kind: 'adopt-manifest', version: number, manifest: Manifest, document: string, digest: string, operator: string }
+  /** Takes a failure domain out of service, or back, beside what the manifest says. */
+  | { kind: 'set-failure-domain', failureDomain: FailureDomainId, out: boolean }
+  | { kind: 'record-database', database: DatabaseRecord }
   | { kind: 'begin-election', group: GroupId, term: number }
   | { kind: 'set-primary', group: GroupId, term: number, database: DatabaseId }
   | ServiceLevelCommand
@@ -19,6 +24,19 @@
   phase: 'serving' | 'electing'
 }
 
+/** What every leader must know of a database without hearing from it. */
+export interface DatabaseRecord {
+  database: DatabaseId
+  group: GroupId
+  address: Address
+  failureDomain: FailureDomainId
+  /** Start of its run, in milliseconds of its own time of day; orders the runs of one name. */
+  startedAt: number
+  role: 'primary' | 'replica'
+  /** `gone`: it said that it ends. */
+  state: 'ready' | 'departing' | 'gone'
+}
+
 /** State that every control member derives from the log. */
 export interface ReplicatedState {
   /** 0: none was committed yet. */
@@ -27,6 +45,12 @@
   /** Content digest of each accepted version that is still remembered, oldest first. */
   acceptedDigests: { version: number, digest: string, operator: string }[]
   groups: ReplicatedGroup[]
+  /** Document from which the manifest was adopted, as the operator sent it; null if the manifest was committed itself. */
+  manifestDocument: string | null
+  /** Failure domains taken out by `set-failure-domain`. */
+  withdrawnDomains: FailureDomainId[]
+  /** Databases that keep no list of their own and were recorded, by name. */
+  databases: DatabaseRecord[]
   /** Requests counted against the objectives of their workspaces. */
   serviceLevels: ServiceLevelState
 }
@@ -36,5 +60,7 @@
   | { kind: 'manifest-conflict', currentVersion: number, winningDigest: string, winningOperator: string }
   | { kind: 'group-changed', group: ReplicatedGroup }
   | { kind: 'group-conflict', group: ReplicatedGroup }
+  | { kind: 'failure-domain-set' }
+  | { kind: 'database-recorded' }
   | { kind: 'requests-counted' }
   | { kind: 'barrier-passed' }
--- /dev/null
+++ b/src/types/session-statement.ts
@@ -0,0 +1,46 @@
+import type { LogPosition } from './log-position.js'
+import type { ResultName } from './result-code.js'
+
+export type StatementAccess = 'read' | 'write'
+
+/** A statement of a connection-oriented session. */
+export type SessionStatement =
+  | { kind: 'begin', readOnly: boolean }
+  | { kind: 'commit' }
+  | { kind: 'rollback' }
+  /** `text` reaches the database unchanged. */
+  | { kind: 'run', access: StatementAccess, text: string }
+  | { kind: 'set', name: string, value: string }
+  | { kind: 'prepare', name: string, access: StatementAccess, shape: string }
+  | { kind: 'execute', name: string, values: string }
+  | { kind: 'deallocate', name: string }
+
+/** State of a session: `failed` is a transaction that can only be ended. */
+export type SessionState = 'idle' | 'transaction' | 'failed'
+
+/**
+ * What a refused statement promises.
+ * - `nothing-kept`: nothing of the operation remains; it may be repeated as a whole
+ * - `ran`: the database ran it and reports an error
+ * - `unknown`: it may have run or may still run
+ * - `rejected`: the statement itself is wrong; repeating it does not help
+ */
+export type RefusalPromise = 'nothing-kept' | 'ran' | 'unknown' | 'rejected'
+
+export interface SessionRefusal {
+  result: ResultName
+  promise: RefusalPromise
+  message: string
+  /** When a repetition may succeed, in milliseconds; null when it can't. */
+  retryAfterMs: number | null
+}
+
+/** Answer to one statement of a session. */
+export interface SessionAnswer {
+  /** Rows and proof as the database sent them; `proof` is null when the system answered itself. */
+  outcome: { kind: 'done', rows: string[], proof: string | null } | { kind: 'refused', refusal: SessionRefusal }
+  state: SessionState
+  position: LogPosition | null
+  /** The session is over: the caller may do nothing more on it. */
+  ends: boolean
+}
--- a/test/control/consensus-message-schema.test.ts
+++ b/test/control/consensus-message-schema.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { checkConsensusMessage } from '../../src/control/consensus-message-schema.js'
-import { databaseId, groupId, incarnationId, instanceId, workspaceId } from '../../src/types/ids.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId, workspaceId } from '../../src/types/ids.js'
 import type { Manifest } from '../../src/types/manifest.js'
 import type { Command } from '../../src/types/replicated-state.js'
 
@@ -10,6 +10,12 @@
 // Typed by kind, so that a new command can't be left out.
 const commands: { [Kind in Command['kind']]: Extract<Command, { kind: Kind }> } = {
   'commit-manifest': { kind: 'commit-manifest', base: 0, manifest, digest: 'd', operator: 'o' },
+  'adopt-manifest': { kind: 'adopt-manifest', version: 3, manifest, document: '{}', digest: 'd', operator: 'o' },
+  'set-failure-domain': { kind: 'set-failure-domain', failureDomain: failureDomainId('f'), out: true },
+  'record-database': {
+    kind: 'record-database',
+    database: { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('f'), startedAt: 1, role: 'replica', state: 'ready' }
+  },
   'begin-election': { kind: 'begin-election', group: groupId('g'), term: 1 },
   'set-primary': { kind: 'set-primary', group: groupId('g'), term: 1, database: databaseId('d') },
   'count-requests': {
