--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,29 @@
+// Bundles the programs for the platform into one file, since loading many files costs most of a start.
+import { mkdirSync } from 'node:fs'
+import { build } from 'esbuild'
+
+/** The main file of jsonc-parser loads its parts at run time, and its ES modules have no default export. */
+const jsoncParser = {
+  name: 'jsonc-parser',
+  setup (setup) {
+    setup.onResolve({ filter: /^jsonc-parser$/ }, () => ({ path: 'jsonc-parser', namespace: 'default-export' }))
+    setup.onLoad({ filter: /.*/, namespace: 'default-export' }, () => ({
+      contents: "import * as jsonc from 'jsonc-parser/lib/esm/main.js'; export default jsonc",
+      resolveDir: process.cwd()
+    }))
+  }
+}
+
+mkdirSync('target', { recursive: true })
+await build({
+  entryPoints: ['platform/main.ts'],
+  outfile: 'target/catkinrelay-platform.cjs',
+  bundle: true,
+  minify: true,
+  keepNames: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
+  plugins: [jsoncParser]
+})
--- a/src/adapters/metrics/create-metrics.ts
+++ b/src/adapters/metrics/create-metrics.ts
@@ -29,6 +29,10 @@
   manifest_version: 'Version of the manifest in force',
   fresh: '1 while the freshness lease holds',
   active_requests: 'Requests and transactions that this instance executes as holder',
+  database_connections: 'Open connections to databases for sessions of callers',
+  idle_database_connections: 'Connections to databases that no session uses',
+  waiting_for_connection: 'Operations that wait for a connection to a database',
+  leads: '1 while this member leads the control log',
   peer_channels: 'Open channels to other instances'
 } as const
 
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -22,7 +22,7 @@
 import type { ControlSummary } from '../types/control-summary.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
 import type { Announcement } from '../types/database-status.js'
-import type { GroupId } from '../types/ids.js'
+import type { DatabaseId, GroupId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { ShareAllocator } from '../types/share-allocator.js'
 import { summarize } from './coordinator-summary.js'
@@ -82,6 +82,8 @@
   handle: (connection: ConnectionName, message: EntryToControl) => void
   /** Takes an announcement that came from a database itself; answers once the control log holds what it must not forget. */
   announceDatabase: (announcement: Announcement) => Promise<Result<'taken' | 'ignored', ControlLogFailure>>
+  /** @returns the last announcement of a database that the control log recorded */
+  recordedDatabase: (database: DatabaseId) => Announcement | undefined
   /** Called at least every 50 ms. */
   tick: () => void
   summary: () => ControlSummary
@@ -217,6 +219,11 @@
     return ok('taken')
   }
 
+  function recordedDatabase (database: DatabaseId): Announcement | undefined {
+    const record = log.state().databases.find((known) => known.database === database)
+    return record === undefined ? undefined : recordedAnnouncement(record)
+  }
+
   function failoverMessage (message: FailoverMessage): void {
     runEffects(failover.handle(message))
     publishSwitches()
@@ -339,5 +346,5 @@
 
   log.onChange(logChanged)
   logChanged()
-  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, announceDatabase, tick, summary }
+  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, announceDatabase, recordedDatabase, tick, summary }
 }
--- a/src/decisions/freshness/control-attachment.ts
+++ b/src/decisions/freshness/control-attachment.ts
@@ -15,7 +15,7 @@
   blackboard: Blackboard
   logEvent: LogEvent
   /** Addresses of the control instances. */
-  members: readonly Address[]
+  members: readonly Address[] | (() => readonly Address[])
   /** Fills in what this controller does not know; called for each heartbeat. */
   composeHeartbeat: (known: HeartbeatCore) => Heartbeat
   /** Takes the shares of an answer; `sentAt` is the send time of the heartbeat that was answered. */
@@ -77,7 +77,9 @@
  * the lease, the lease starts at the send time of the heartbeat, and an unanswered heartbeat makes the instance move on.
  */
 export function createControlAttachment (options: ControlAttachmentOptions): Controller<AttachmentMessage, AttachmentEffect> {
-  const { clock, members, logEvent } = options
+  const { clock, logEvent } = options
+  const { members: given } = options
+  const members = typeof given === 'function' ? given : () => given
   const heartbeatMs = options.heartbeatMs ?? 500
   const heartbeatGapMs = options.heartbeatGapMs ?? 10
   const leaseMs = options.leaseMs ?? 1500
@@ -90,7 +92,7 @@
   const sentTimes = new Map<number, Milliseconds>()
   let state: 'waiting' | 'dialing' | 'attached' = 'waiting'
   let dialAt = clock.now()
-  let target = members[0] as Address
+  let target = members()[0] as Address
   let sequence = 0
   let lastSentAt: Milliseconds | null = null
   let heartbeatWanted = false
@@ -104,7 +106,8 @@
   }
 
   function nextMember (): Address {
-    return members[(members.indexOf(target) + 1) % members.length] as Address
+    const known = members()
+    return known[(known.indexOf(target) + 1) % known.length] as Address
   }
 
   function leave (): AttachmentEffect[] {
--- a/src/decisions/service-levels/refusal-judgement.ts
+++ b/src/decisions/service-levels/refusal-judgement.ts
@@ -17,6 +17,8 @@
 /** The one table of how refusals count. */
 export const refusalJudgements = {
   malformedRequest: { judgement: 'rightful', reason: 'The request can not be understood.' },
+  unknownEndpoint: { judgement: 'rightful', reason: 'The manifest declares no such endpoint.' },
+  unknownStatement: { judgement: 'rightful', reason: 'The session prepared no such statement.' },
   bodyTooLarge: { judgement: 'rightful', reason: 'The request is above the documented limit.' },
   methodNotAllowed: { judgement: 'rightful', reason: 'The interface has no such call.' },
   unknownPath: { judgement: 'rightful', reason: 'The interface has no such call.' },
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -42,10 +42,15 @@
   switchoverBegan: { event: 406, name: 'switchover-began', level: 'info', meaning: 'A planned change of primary began.' },
   switchoverEnded: { event: 407, name: 'switchover-ended', level: 'info', meaning: 'A planned change of primary ended.' },
   databaseRoleChanged: { event: 410, name: 'database-role-changed', level: 'info', meaning: 'A database announced that it has another role.' },
+  announcementUnreadable: { event: 411, name: 'announcement-unreadable', level: 'warn', meaning: 'An announcement can not be read, or comes from another kind of writer; it names no database to use.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
   requestFailed: { event: 501, name: 'request-failed', level: 'error', meaning: 'An unexpected error ended a request.' },
+  operationFinished: { event: 503, name: 'operation-finished', level: 'info', meaning: 'A session operation succeeded; gives database, demanded position and its age.' },
+  operationRefused: { event: 504, name: 'operation-refused', level: 'info', meaning: 'A session operation was refused; gives the result, what it promises, and the inputs of the decision.' },
+  statementRetried: { event: 505, name: 'statement-retried', level: 'info', meaning: 'A statement that has not run is sent again, usually to another database.' },
+  linesDropped: { event: 506, name: 'lines-dropped', level: 'warn', meaning: 'Log lines were dropped to bound their volume.' },
   wrongfulRefusal: { event: 502, name: 'wrongful-refusal', level: 'warn', meaning: 'A request within the rate of its workspace was refused.' },
 
   manifestAccepted: { event: 601, name: 'manifest-accepted', level: 'info', meaning: 'The control log accepted a manifest.' },
--- a/src/types/result-code.ts
+++ b/src/types/result-code.ts
@@ -32,6 +32,9 @@
   idempotencyKeyReused: { code: 1013, name: 'idempotency-key-reused', status: 409, meaning: 'The idempotency key was used before with another statement.', remedy: 'Use a new key for each request.' },
   headerInvalid: { code: 1014, name: 'header-invalid', status: 400, meaning: 'A catkinrelay header has a value that can not be used.', remedy: 'The message names the header.' },
 
+  unknownEndpoint: { code: 1015, name: 'unknown-endpoint', status: 404, meaning: 'The manifest declares no session endpoint of that name.', remedy: 'Check the name with the operator.' },
+  unknownStatement: { code: 1016, name: 'unknown-statement', status: 404, meaning: 'The session has prepared no statement of that name.', remedy: 'Prepare it first.' },
+
   rateExceeded: { code: 2001, name: 'rate-exceeded', status: 429, meaning: 'The workspace has used its rate and burst.', remedy: 'Retry after the stated time.' },
   queueFull: { code: 2002, name: 'queue-full', status: 503, meaning: 'The queue of the workspace at the database group is full.', remedy: 'Retry after the stated time.' },
   tooManyTransactions: { code: 2003, name: 'too-many-transactions', status: 503, meaning: 'No connection is free for another transaction.', remedy: 'Retry after the stated time.' },
