--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -33,6 +33,7 @@
 import { createLeadership } from './leadership.js'
 import { logFailureDomains } from './log-failure-domains.js'
 import { createLostInstances } from './lost-instances.js'
+import type { RateTolerance } from './share-resources.js'
 import { shareResources } from './share-resources.js'
 
 /**
@@ -63,6 +64,10 @@
   holders?: 'placed' | 'every-instance'
   /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
   instanceLostMs?: number
+  /** Excess over rates and bursts that is shared out, too, so that small rates can be divided. Default: none. */
+  rateTolerance?: RateTolerance
+  /** Shortest time between two proofs of leadership in ms; see the rounds. Default 10. */
+  roundPauseMs?: number
   /** Whether the directory lists the control members, for instances whose settings may be out of date. Default false. */
   publishMembers?: boolean
 }
@@ -114,7 +119,7 @@
   const lost = createLostInstances()
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, giveOrder: typeof orders === 'function' ? orders : giveToDatabases(orders), logEvent, deliver: failoverOutcome })
-  const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
+  const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, roundPauseMs: options.roundPauseMs, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
   let sharesAreStale = true
   let directoryIsStale = true
   let updatedAt = -Infinity
@@ -273,7 +278,7 @@
 
   function feedAllocator (): void {
     sharesAreStale = false
-    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read(), databaseShares: placesHolders }))
+    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read(), databaseShares: placesHolders, rateTolerance: options.rateTolerance }))
   }
 
   function stateChanged (): void {
--- a/src/control/share-resources.ts
+++ b/src/control/share-resources.ts
@@ -19,14 +19,26 @@
   holders: ReadonlyMap<GroupId, readonly InstanceId[]>
   /** Whether slots and connections of databases are shared out; otherwise only rates are. */
   databaseShares: boolean
+  /** What a workspace may get above its rate and burst; default: nothing. */
+  rateTolerance?: RateTolerance | undefined
 }
 
+/** Excess over the rate and burst of a workspace that the operators tolerate. */
+export interface RateTolerance {
+  /** Part of rate and burst. */
+  share: number
+  /** Requests that may come at once besides. */
+  requests: number
+}
+
+const NO_TOLERANCE: RateTolerance = { share: 0, requests: 0 }
+
 /** @returns everything that the share allocator divides: rates of workspaces, slots and connections of databases */
-export function shareResources ({ manifest, databases, holders, databaseShares }: ShareResourceSources): Map<ResourceId, ResourceSize> {
+export function shareResources ({ manifest, databases, holders, databaseShares, rateTolerance = NO_TOLERANCE }: ShareResourceSources): Map<ResourceId, ResourceSize> {
   const resources = new Map<ResourceId, ResourceSize>()
   if (manifest === null) return resources
   for (const { id, rate, burst } of manifest.workspaces) {
-    resources.set(resourceId('rate', id), { amount: rate, burst, whole: false, eligible: null })
+    resources.set(resourceId('rate', id), { amount: rate * (1 + rateTolerance.share), burst: burst * (1 + rateTolerance.share) + rateTolerance.requests, whole: false, eligible: null })
   }
   if (!databaseShares) return resources
   const groups = new Map(manifest.groups.map((group) => [group.id, group]))
--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -96,13 +96,13 @@
     })
   }
 
-  async function grantOperation (): Promise<SessionGrant | { refusal: SessionRefusal, ends: boolean }> {
+  async function grantOperation (): Promise<SessionGrant | { refusal: SessionRefusal, ends: boolean, workspace: string | null }> {
     const startedAt = clock.now()
     const grant = services.authorize(endpointName, keyDigest)
     // The caller's next session gets the same answer, so this one has no further use.
-    if ('promise' in grant) return { refusal: grant, ends: true }
+    if ('promise' in grant) return { refusal: grant, ends: true, workspace: null }
     const refusal = await services.admit(grant.workspace, addTime(startedAt, grant.endpoint.statementTimeoutMs))
-    return refusal === null ? grant : { refusal, ends: false }
+    return refusal === null ? grant : { refusal, ends: false, workspace: grant.workspace }
   }
 
   async function begin (id: string, readOnly: boolean): Promise<SessionAnswer> {
@@ -110,7 +110,7 @@
     const startedAt = clock.now()
     const grant = await grantOperation()
     if ('refusal' in grant) {
-      logRefusedGrant(id, grant.refusal, startedAt)
+      logRefusedGrant(id, grant.refusal, startedAt, grant.workspace)
       return refused(grant.refusal, grant.ends)
     }
     transaction = { readOnly, state: 'open', held: null, use: null, hasWritten: false, isRunning: false, ended: null, cancelIdle: () => {}, startedAt, retries: 0 }
@@ -118,8 +118,8 @@
     return done()
   }
 
-  function logRefusedGrant (id: string, refusal: SessionRefusal, startedAt: Milliseconds): void {
-    logEvent('operationRefused', { requestId: id, endpoint: endpointName, result: refusal.result, promise: refusal.promise, message: refusal.message, retryAfterMs: refusal.retryAfterMs, durationMs: Math.round(clock.now() - startedAt) })
+  function logRefusedGrant (id: string, refusal: SessionRefusal, startedAt: Milliseconds, workspace: string | null): void {
+    logEvent('operationRefused', { requestId: id, endpoint: endpointName, workspace, result: refusal.result, promise: refusal.promise, message: refusal.message, retryAfterMs: refusal.retryAfterMs, durationMs: Math.round(clock.now() - startedAt) })
   }
 
   function watchIdle (current: Transaction): void {
@@ -201,7 +201,7 @@
     const arrivedAt = clock.now()
     const grant = await grantOperation()
     if ('refusal' in grant) {
-      logRefusedGrant(id, grant.refusal, arrivedAt)
+      logRefusedGrant(id, grant.refusal, arrivedAt, grant.workspace)
       return refused(grant.refusal, grant.ends)
     }
     const need = needOf(grant, kind, arrivedAt, 'none')
@@ -289,7 +289,7 @@
     const grant = services.authorize(endpointName, keyDigest)
     if ('promise' in grant) {
       abort(current, grant)
-      logRefusedGrant(id, grant, arrivedAt)
+      logRefusedGrant(id, grant, arrivedAt, null)
       return refused(grant, true)
     }
     current.cancelIdle()
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -30,6 +30,11 @@
 const TICK_MS = 25
 /** Time between looks at idle connections in milliseconds. */
 const POOL_TICK_MS = 250
+/**
+ * Longest wait for a token of the workspace's rate, in milliseconds: the time in which the leader moves a share. A longer queue would
+ * make every operation of a workspace above its rate late.
+ */
+const RATE_WAIT_MS = 50
 const INCARNATION_BYTES = 8
 /** A transaction may idle for this long when the manifest sets no limit, in milliseconds. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000
@@ -82,7 +87,7 @@
   const endpoints = createEndpointIndex(blackboard)
   const access = createGroupAccess({ clock, blackboard, after: callAfter, onReleased: () => { link.handle({ kind: 'heartbeat-wanted' }) } })
   const buckets = createTokenBuckets(clock)
-  const limiter = createWorkspaceLimiter({ clock, blackboard, buckets })
+  const limiter = createWorkspaceLimiter({ clock, blackboard, buckets, maxWaitMs: RATE_WAIT_MS })
   const shareHolder = createShareHolder({ clock, blackboard, buckets, demandSources: [limiter.demand] })
   const admission = createAdmission(limiter, () => { wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' })) })
   const pool = createSessionPool({
--- a/src/settings/platform-settings.ts
+++ b/src/settings/platform-settings.ts
@@ -17,6 +17,8 @@
   isFirstStart: z.boolean().default(false).describe('Whether the whole deployment starts for the first time; default false.'),
   announcementIntervalMs: z.number().positive().default(1000).describe('Time between two announcements of a database in milliseconds; default 1,000.'),
   toleratedInstances: z.int().min(0).default(1).describe('Control instances that may be lost at once; default 1.'),
+  rateExcessShare: z.number().min(0).default(0).describe('Excess over rate and burst of a workspace that is tolerated, as a part of both; default 0.'),
+  rateExcessRequests: z.number().min(0).default(0).describe('Requests above rate and burst that are tolerated besides; default 0.'),
   stopLimitSeconds: z.number().positive().default(10).describe('Time between the order to stop and the kill in seconds; default 10.'),
   clusterSecret: z.string().min(16).default('catkinrelay-platform-network').describe('Secret shared by all instances; the default suits a network that only the instances can use.')
 })
