--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -1,5 +1,3 @@
-import type { Result } from 'neverthrow'
-import { err, ok } from 'neverthrow'
 import { createBlackboard } from '../blackboard/blackboard.js'
 import {
   databaseWeightsEntry, holdersEntry, leadershipEntry, primaryChangesEntry, publishedDirectoryEntry, registeredDatabasesEntry,
@@ -10,22 +8,23 @@
 import type { Failover } from '../decisions/failover/failover.js'
 import type { FailoverMessage } from '../decisions/failover/failover-message.js'
 import type { FailoverOptions } from '../decisions/failover/failover-options.js'
-import { judgeAnnouncement, recordedAnnouncement } from '../decisions/membership/database-runs.js'
 import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
 import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
 import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
 import { createHolderAssignment } from '../decisions/membership/holder-assignment.js'
 import { createInstanceRegistry } from '../decisions/membership/instance-registry.js'
 import type { Clock } from '../types/clock.js'
-import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
+import type { ControlLog } from '../types/control-log.js'
 import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
 import type { ControlSummary } from '../types/control-summary.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
 import type { Announcement } from '../types/database-status.js'
-import type { DatabaseId, GroupId } from '../types/ids.js'
+import type { GroupId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { ShareAllocator } from '../types/share-allocator.js'
 import { summarize } from './coordinator-summary.js'
+import type { DatabaseAnnouncements } from './database-announcements.js'
+import { createDatabaseAnnouncements } from './database-announcements.js'
 import { createEntryConnections } from './entry-connections.js'
 import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
 import { createFailoverEffects, giveToDatabases } from './failover-effects.js'
@@ -85,10 +84,8 @@
   /** The connection ended. */
   detach: (connection: ConnectionName) => void
   handle: (connection: ConnectionName, message: EntryToControl) => void
-  /** Takes an announcement that came from a database itself; answers once the control log holds what it must not forget. */
-  announceDatabase: (announcement: Announcement) => Promise<Result<'taken' | 'ignored', ControlLogFailure>>
-  /** @returns the last announcement of a database that the control log recorded */
-  recordedDatabase: (database: DatabaseId) => Announcement | undefined
+  /** Announcements that come from databases themselves. */
+  readonly announcements: DatabaseAnnouncements
   /** Called at least every 50 ms. */
   tick: () => void
   summary: () => ControlSummary
@@ -120,6 +117,7 @@
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, giveOrder: typeof orders === 'function' ? orders : giveToDatabases(orders), logEvent, deliver: failoverOutcome })
   const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, roundPauseMs: options.roundPauseMs, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
+  const announcements = createDatabaseAnnouncements({ log, isEstablished: establishedNow, take: takeRun })
   let sharesAreStale = true
   let directoryIsStale = true
   let updatedAt = -Infinity
@@ -131,9 +129,19 @@
     allocator.becomeLeader(term)
   }
 
+  function establishedNow (): boolean {
+    leadership.refresh()
+    return leadership.term() !== null && leadership.isEstablished()
+  }
+
+  function takeRun (announcement: Announcement): void {
+    stateChanged()
+    takeAnnouncement(announcement, 0)
+  }
+
   function established (): void {
     stateChanged()
-    takeRecorded()
+    announcements.takeRecorded()
     update()
   }
 
@@ -202,33 +210,6 @@
     publishSwitches()
   }
 
-  /** What earlier leaders recorded stands until the databases announce themselves again. */
-  function takeRecorded (): void {
-    for (const record of stateEntry.read().databases) {
-      if (record.state !== 'gone') databases.announce(recordedAnnouncement(record))
-    }
-  }
-
-  async function announceDatabase (announcement: Announcement): Promise<Result<'taken' | 'ignored', ControlLogFailure>> {
-    leadership.refresh()
-    if (leadership.term() === null || !leadership.isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
-    const verdict = judgeAnnouncement(log.state().databases, announcement)
-    if (verdict.kind === 'ignored') return ok('ignored')
-    if (verdict.kind === 'new') {
-      const recorded = await log.propose({ kind: 'record-database', database: verdict.record })
-      if (recorded.isErr()) return err(recorded.error)
-      stateChanged()
-      leadership.refresh()
-    }
-    if (leadership.term() !== null) takeAnnouncement(verdict.announcement, 0)
-    return ok('taken')
-  }
-
-  function recordedDatabase (database: DatabaseId): Announcement | undefined {
-    const record = log.state().databases.find((known) => known.database === database)
-    return record === undefined ? undefined : recordedAnnouncement(record)
-  }
-
   function failoverMessage (message: FailoverMessage): void {
     runEffects(failover.handle(message))
     publishSwitches()
@@ -351,5 +332,5 @@
 
   log.onChange(logChanged)
   logChanged()
-  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, announceDatabase, recordedDatabase, tick, summary }
+  return { attach: (name) => { connections.attach(name) }, detach: connections.detach, handle, announcements, tick, summary }
 }
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -169,7 +169,7 @@
     for (const [workspace, count] of wanted) {
       for (let missing = count - (pool.opening.get(workspace) ?? 0); missing > 0; missing--) {
         if (!mayOpen(database, pool) && !closeIdle(pool)) return
-        void open(database, pool, workspace)
+        open(database, pool, workspace).catch(() => { health.connectionFailed(database.database) })
       }
     }
   }
--- a/src/decisions/caller-sessions/statement-runner.ts
+++ b/src/decisions/caller-sessions/statement-runner.ts
@@ -53,9 +53,12 @@
 async function withinTime (services: Pick<SessionServices, 'after'>, answer: Promise<Result<DatabaseReply, ConnectionLoss>>, limitMs: number): Promise<Result<DatabaseReply, StatementLoss>> {
   return await new Promise((resolve) => {
     const cancel = services.after(limitMs, () => { resolve(err({ kind: 'silent', message: `no answer within ${Math.round(limitMs)} ms` })) })
-    void answer.then((result) => {
+    answer.then((result) => {
       cancel()
       resolve(result)
+    }, (error: unknown) => {
+      cancel()
+      resolve(err({ kind: 'lost', message: String(error) }))
     })
   })
 }
