shares: a new leader that has heard every recorded instance grants at once; replicas known to lag are not asked

Instances are now recorded in the control log before they get shares. Reads went to lagging replicas first (2,096 retries).

--- a/measure/coordination-cost.ts
+++ b/measure/coordination-cost.ts
@@ -34,7 +34,7 @@
   const builder = createDirectoryBuilder({ blackboard })
   const failover = createFailover({ blackboard, clock })
   const { manifest, groups } = fleetManifest(size)
-  state.write({ manifestVersion: 1, manifest, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], groups, serviceLevels: emptyServiceLevels() })
+  state.write({ manifestVersion: 1, manifest, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], groups, serviceLevels: emptyServiceLevels() })
   now = 2000
   let sequence = 0
   const beat = () => {
--- a/src/blackboard/control-instance-entries.ts
+++ b/src/blackboard/control-instance-entries.ts
@@ -62,7 +62,7 @@
 /** Written by `coordinator`. Null: this member does not lead. */
 export const leadershipEntry = defineEntry<Leadership | null>('leadership', null)
 /** Written by `coordinator`. */
-export const replicatedStateEntry = defineEntry<ReplicatedState>('replicated-state', { manifestVersion: 0, manifest: null, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], groups: [], serviceLevels: emptyServiceLevels() })
+export const replicatedStateEntry = defineEntry<ReplicatedState>('replicated-state', { manifestVersion: 0, manifest: null, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], groups: [], serviceLevels: emptyServiceLevels() })
 /** Written by `instance-registry`. */
 export const registeredInstancesEntry = defineEntry<ReadonlyMap<InstanceId, RegisteredInstance>>('registered-instances', new Map())
 /** Written by `database-registry`. */
--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -22,6 +22,7 @@
   z.object({ kind: z.literal('adopt-manifest'), version: count, manifest: z.looseObject({}), document: z.string(), digest: name, operator: z.string() }),
   z.object({ kind: z.literal('set-failure-domain'), failureDomain: name, out: z.boolean() }),
   z.object({ kind: z.literal('record-database'), database: databaseRecord }),
+  z.object({ kind: z.enum(['record-instance', 'forget-instance']), instance: name }),
   z.object({ kind: z.literal('begin-election'), group: name, term: count }),
   z.object({ kind: z.literal('set-primary'), group: name, term: count, database: name }),
   z.object({ kind: z.literal('count-requests'), at: count, increments: z.array(z.looseObject({ incarnation: name, sequence: count })) }),
@@ -44,6 +45,7 @@
   manifestDocument: z.string().nullable(),
   withdrawnDomains: z.array(name),
   databases: z.array(databaseRecord),
+  instances: z.array(name),
   serviceLevels: z.looseObject({ at: count, lostIncrements: count })
 })
 
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -31,6 +31,7 @@
 import type { GiveOrder } from './failover-effects.js'
 import { createLeadership } from './leadership.js'
 import { logFailureDomains } from './log-failure-domains.js'
+import { createRecordedInstances } from './recorded-instances.js'
 import { createLostInstances } from './lost-instances.js'
 import type { RateTolerance } from './share-resources.js'
 import { shareResources } from './share-resources.js'
@@ -63,6 +64,8 @@
   holders?: 'placed' | 'every-instance'
   /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
   instanceLostMs?: number
+  /** Whether instances are recorded in the control log before they get shares. Default false. */
+  recordInstances?: boolean
   /** Excess over rates and bursts that is shared out, too, so that small rates can be divided. Default: none. */
   rateTolerance?: RateTolerance
   /** Shortest time between two proofs of leadership in ms; see the rounds. Default 10. */
@@ -117,7 +120,17 @@
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, giveOrder: typeof orders === 'function' ? orders : giveToDatabases(orders), logEvent, deliver: failoverOutcome })
   const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, roundPauseMs: options.roundPauseMs, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
-  const announcements = createDatabaseAnnouncements({ log, isEstablished: establishedNow, take: takeRun })
+  const announcements = createDatabaseAnnouncements({ log, isEstablished: establishedNow, take: (announcement) => { takeAnnouncement(announcement, 0) } })
+  const recordedInstances = createRecordedInstances({
+    clock,
+    log,
+    isEnabled: options.recordInstances === true,
+    isRegistered: (instance) => entries.instances.read().has(instance),
+    onRecorded: (instance) => {
+      const connection = connections.ofInstance(instance)
+      if (connection !== undefined) send(connection.name, { version: 1, kind: 'heartbeat-request' })
+    }
+  })
   let sharesAreStale = true
   let directoryIsStale = true
   let updatedAt = -Infinity
@@ -134,14 +147,10 @@
     return leadership.term() !== null && leadership.isEstablished()
   }
 
-  function takeRun (announcement: Announcement): void {
-    stateChanged()
-    takeAnnouncement(announcement, 0)
-  }
-
   function established (): void {
     stateChanged()
     announcements.takeRecorded()
+    if (options.recordInstances === true) allocator.expectHolders(new Set(stateEntry.read().instances))
     update()
   }
 
@@ -180,7 +189,7 @@
       manifestVersion: state.manifestVersion,
       // Until the first directory is published, no instance can hold what is named here, so none takes a lease.
       directoryVersion: state.directory?.version ?? { leaderTerm: leadership.term() ?? 0, counter: 0 },
-      shares: allocator.renew(heartbeat.instance, heartbeat.incarnation)
+      shares: recordedInstances.mayHold(heartbeat.instance) ? allocator.renew(heartbeat.instance, heartbeat.incarnation) : []
     })
   }
 
@@ -199,6 +208,7 @@
   }
 
   function takeAnnouncement (announcement: Announcement, ageMs: number): void {
+    stateChanged()
     const { database, group, address } = announcement
     const outcome = databases.announce(announcement, ageMs)
     if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
@@ -306,6 +316,7 @@
     allocator.tick()
     requestHeartbeats()
     leadership.tick()
+    recordedInstances.tick(entries.leadership.read()?.since ?? clock.now())
   }
 
   /** Shares are granted in answers only, so an instance whose shares changed is asked for a heartbeat at once. */
--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -153,7 +153,7 @@
   if (sample === null || isOwnOld || need.needsPrimary === true) return primaryTarget(services, need, null, null)
   const after = own !== null && compareLogPositions(own, sample.position) > 0 ? own : sample.position
   const positionAgeMs = clock.now() - sample.provenAt
-  const database = chooseForRead({ group: endpoint.group, workspace, failureDomain, after, tried: need.tried }, access, health, pool)
+  const database = chooseForRead({ group: endpoint.group, workspace, failureDomain, after, positionAgeMs, tried: need.tried }, access, health, pool)
   if (database === null) return primaryTarget(services, need, null, null)
   const primary = access.primary(endpoint.group)
   if (primary?.database.database === database.database) return { kind: 'primary', ...primary, after, positionAgeMs }
--- a/src/decisions/caller-sessions/choose-database.ts
+++ b/src/decisions/caller-sessions/choose-database.ts
@@ -14,8 +14,10 @@
 const OPEN_CONNECTION_MS = 15
 /** All connections are in use. */
 const NO_CONNECTION_MS = 60
-/** The database told a position before the one that is needed; replicas usually lag by about this. */
-const BEHIND_MS = 60
+/** A replica that lagged too far is tried again after this time, in milliseconds. */
+const LAG_KNOWN_MS = 1000
+/** Cost of asking a replica that is expected to refuse: a round trip and the wait at the next database. */
+const BEHIND_MS = 200
 
 export interface ReadChoice {
   group: GroupId
@@ -23,6 +25,8 @@
   failureDomain: FailureDomainId
   /** Position that the database must hold. */
   after: LogPosition
+  /** Age of the proof of that position, in milliseconds. */
+  positionAgeMs: number
   /** Databases that have refused the statement. */
   tried: ReadonlySet<DatabaseId>
 }
@@ -35,7 +39,7 @@
   let best: DirectoryDatabase | null = null
   let bestCost = Infinity
   for (const candidate of usable.length > 0 ? usable : candidates) {
-    const cost = costOf(candidate, candidate.database === primary, choice, health, pool)
+    const cost = costOf(candidate, candidate.database === primary, choice, access, health, pool)
     if (cost >= bestCost) continue
     best = candidate
     bestCost = cost
@@ -43,13 +47,18 @@
   return best
 }
 
-function costOf (candidate: DirectoryDatabase, isPrimary: boolean, choice: ReadChoice, health: DatabaseHealth, pool: SessionPool): number {
+function costOf (candidate: DirectoryDatabase, isPrimary: boolean, choice: ReadChoice, access: GroupAccess, health: DatabaseHealth, pool: SessionPool): number {
   const outlook = pool.outlook(candidate, choice.workspace)
-  const told = health.position(candidate.database)
-  const isBehind = !isPrimary && told !== null && !isAtOrPast(told.position, choice.after)
   return health.expectedMs(candidate.database) +
     (candidate.failureDomain === choice.failureDomain ? 0 : OTHER_DOMAIN_MS) +
     (isPrimary ? PRIMARY_MS : 0) +
     (outlook === 'idle' ? 0 : outlook === 'openable' ? OPEN_CONNECTION_MS : NO_CONNECTION_MS) +
-    (isBehind ? Math.max(0, BEHIND_MS - told.ageMs) : 0)
+    (!isPrimary && isBehind(candidate, choice, access, health) ? BEHIND_MS : 0)
+}
+
+/** A replica that lagged a moment ago most likely lags as much now. */
+function isBehind (candidate: DirectoryDatabase, choice: ReadChoice, access: GroupAccess, health: DatabaseHealth): boolean {
+  const told = health.position(candidate.database)
+  if (told === null || told.ageMs >= LAG_KNOWN_MS || isAtOrPast(told.position, choice.after)) return false
+  return access.history(choice.group).lagAt(told.position, told.at) > choice.positionAgeMs
 }
--- a/src/decisions/caller-sessions/database-health.ts
+++ b/src/decisions/caller-sessions/database-health.ts
@@ -43,7 +43,7 @@
   connectionOpened: (database: DatabaseId) => void
   learned: (database: DatabaseId, position: LogPosition) => void
   /** @returns position that the database told last, and its age in milliseconds */
-  position: (database: DatabaseId) => { position: LogPosition, ageMs: number } | null
+  position: (database: DatabaseId) => { position: LogPosition, at: Milliseconds, ageMs: number } | null
   /** @returns whether the database gets new work */
   isUsable: (database: DatabaseId) => boolean
   /** @returns expected time of a statement in milliseconds, with what this instance has under way there */
@@ -127,7 +127,7 @@
     connectionOpened: (database) => answered(recordOf(database)),
     position: (database) => {
       const record = records.get(database)
-      return record?.position == null ? null : { position: record.position, ageMs: clock.now() - record.positionAt }
+      return record?.position == null ? null : { position: record.position, at: record.positionAt, ageMs: clock.now() - record.positionAt }
     },
     isUsable: (database) => {
       const record = records.get(database)
--- a/src/decisions/caller-sessions/endpoint-index.ts
+++ b/src/decisions/caller-sessions/endpoint-index.ts
@@ -7,7 +7,7 @@
 import type { SessionGrant } from './session-services.js'
 
 /** Workspace of callers without a key on endpoints that need none. */
-const NO_WORKSPACE = '-' as WorkspaceId
+export const NO_WORKSPACE = '-' as WorkspaceId
 /** Time until a manifest has usually arrived, in milliseconds. */
 const NO_MANIFEST_RETRY_MS = 500
 
--- a/src/decisions/caller-sessions/position-history.ts
+++ b/src/decisions/caller-sessions/position-history.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { LogPosition } from '../../types/log-position.js'
+import { compareLogPositions } from '../../types/log-position.js'
 
 /** Positions are kept at most this densely, in milliseconds. */
 const SAMPLE_GAP_MS = 40
@@ -19,6 +20,8 @@
   add: (position: LogPosition, sentAt: Milliseconds) => void
   /** @returns the oldest position that holds every commit acknowledged before `since`, or null when none is known */
   oldestSince: (since: Milliseconds) => PositionSample | null
+  /** @returns how long ago at least a database at `position` was as far as the primary, at the time `at`; in milliseconds */
+  lagAt: (position: LogPosition, at: Milliseconds) => number
   /** @returns term of the newest position; 0 when none is known */
   term: () => number
 }
@@ -45,6 +48,10 @@
   return {
     add,
     oldestSince: (since) => samples.find(({ provenAt }) => provenAt >= since) ?? null,
+    lagAt: (position, at) => {
+      const next = samples.find((sample) => compareLogPositions(sample.position, position) > 0)
+      return next === undefined ? 0 : Math.max(0, at - next.provenAt)
+    },
     term: () => newestTerm
   }
 }
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -36,6 +36,9 @@
   const superseded = new Map<IncarnationId, ShareClient>()
   let leaderTerm = 0
   let grantsBegin = Infinity as Milliseconds
+  /** When every share of an earlier leader has run out. */
+  let earlierSharesEnd = Infinity as Milliseconds
+  let expected: ReadonlySet<InstanceId> | null = null
   let grantCounter = 0
   let scannedAt = milliseconds(-Infinity)
 
@@ -45,6 +48,8 @@
     leaderTerm = term
     grantCounter = 0
     grantsBegin = addTime(clock.now(), leaderShareLeaseMs)
+    earlierSharesEnd = grantsBegin
+    expected = null
     clients.clear()
     superseded.clear()
     for (const shares of resources.values()) {
@@ -77,6 +82,22 @@
     }
   }
 
+  function expectHolders (instances: ReadonlySet<InstanceId>): void {
+    expected = instances
+    beginIfAllReported()
+  }
+
+  function beginIfAllReported (): void {
+    const now = clock.now()
+    if (expected === null || now >= grantsBegin) return
+    for (const instance of expected) if (clients.get(instance)?.termKnown !== true) return
+    grantsBegin = now
+    for (const shares of resources.values()) {
+      recountReserve(shares, now)
+      shares.dirty = true
+    }
+  }
+
   function isResponsive (account: ShareAccount): boolean {
     const { client } = account
     return !client.superseded && client.termKnown && clock.now() - client.reportedAt <= unresponsiveAfterMs
@@ -136,7 +157,7 @@
     // Until the resources are known, an adopted share stands for a resource of unknown size.
     const adopting = shares ?? newResourceShares(held.resource, null)
     resources.set(held.resource, adopting)
-    adoptShare(accountOf(client, adopting), held, grantsBegin)
+    adoptShare(accountOf(client, adopting), held, earlierSharesEnd)
   }
 
   /** Makes accounts for resources that an instance may hold from now on. */
@@ -176,6 +197,7 @@
     client.draining = report.draining
     takeDemand(client, report)
     if (!client.termKnown) return
+    beginIfAllReported()
     openAccounts(client)
     for (const resource of client.accounts.keys()) {
       const shares = resources.get(resource) as ResourceShares
@@ -266,5 +288,5 @@
     forgetClients()
   }
 
-  return { becomeLeader, setResources, report, renew, takeChanged, tick }
+  return { becomeLeader, expectHolders, setResources, report, renew, takeChanged, tick }
 }
--- a/src/decisions/manifest/apply-command.ts
+++ b/src/decisions/manifest/apply-command.ts
@@ -20,12 +20,13 @@
 type CommitManifest = Extract<Command, { kind: 'commit-manifest' }>
 type AdoptManifest = Extract<Command, { kind: 'adopt-manifest' }>
 type SetFailureDomain = Extract<Command, { kind: 'set-failure-domain' }>
+type RecordInstance = Extract<Command, { kind: 'record-instance' | 'forget-instance' }>
 type BeginElection = Extract<Command, { kind: 'begin-election' }>
 type SetPrimary = Extract<Command, { kind: 'set-primary' }>
 
 /** @returns the state before the first command */
 export function emptyReplicatedState (): ReplicatedState {
-  return { manifestVersion: 0, manifest: null, acceptedDigests: [], groups: [], manifestDocument: null, withdrawnDomains: [], databases: [], serviceLevels: emptyServiceLevels() }
+  return { manifestVersion: 0, manifest: null, acceptedDigests: [], groups: [], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], serviceLevels: emptyServiceLevels() }
 }
 
 /**
@@ -39,6 +40,8 @@
     case 'adopt-manifest': return adoptManifest(state, command)
     case 'set-failure-domain': return setFailureDomain(state, command)
     case 'record-database': return recordDatabase(state, command.database)
+    case 'record-instance':
+    case 'forget-instance': return recordInstance(state, command)
     case 'begin-election': return beginElection(state, command)
     case 'set-primary': return setPrimary(state, command)
     case 'barrier': return { state, answer: { kind: 'barrier-passed' } }
@@ -82,6 +85,11 @@
   return { state: { ...state, withdrawnDomains: out ? [...others, failureDomain] : others }, answer: { kind: 'failure-domain-set' } }
 }
 
+function recordInstance (state: ReplicatedState, { kind, instance }: RecordInstance): AppliedCommand {
+  const others = state.instances.filter((other) => other !== instance)
+  return { state: { ...state, instances: kind === 'record-instance' ? [...others, instance] : others }, answer: { kind: 'instances-recorded' } }
+}
+
 /** An earlier run of a database changes nothing, and neither does a return of the run that has said that it ends. */
 function recordDatabase (state: ReplicatedState, record: DatabaseRecord): AppliedCommand {
   const answer: CommandAnswer = { kind: 'database-recorded' }
--- a/src/entry/session-admission.ts
+++ b/src/entry/session-admission.ts
@@ -1,3 +1,4 @@
+import { NO_WORKSPACE } from '../decisions/caller-sessions/endpoint-index.js'
 import type { LimiterEffect, WorkspaceLimiter } from '../decisions/limits/workspace-limiter.js'
 import type { Milliseconds } from '../types/clock.js'
 import type { RequestId, WorkspaceId } from '../types/ids.js'
@@ -35,6 +36,8 @@
 
   return {
     admit: (workspace, deadline) => new Promise((resolve) => {
+      // The manifest sets no rate for callers that belong to no workspace.
+      if (workspace === NO_WORKSPACE) return resolve(null)
       const id = requestId(`s${++count}`)
       waiting.set(id, resolve)
       carryOut(limiter.handle({ kind: 'admit', requestId: id, workspace, deadline }))
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -1,4 +1,4 @@
-import type { Address, DatabaseId, FailureDomainId, GroupId } from './ids.js'
+import type { Address, DatabaseId, FailureDomainId, GroupId, InstanceId } from './ids.js'
 import type { Manifest } from './manifest.js'
 import type { ServiceLevelCommand, ServiceLevelState } from './service-level.js'
 
@@ -10,6 +10,10 @@
   /** Takes a failure domain out of service, or back, beside what the manifest says. */
   | { kind: 'set-failure-domain', failureDomain: FailureDomainId, out: boolean }
   | { kind: 'record-database', database: DatabaseRecord }
+  /** Recorded before an instance may hold shares of anything. */
+  | { kind: 'record-instance', instance: InstanceId }
+  /** Its shares have run out, and it has not come back. */
+  | { kind: 'forget-instance', instance: InstanceId }
   | { kind: 'begin-election', group: GroupId, term: number }
   | { kind: 'set-primary', group: GroupId, term: number, database: DatabaseId }
   | ServiceLevelCommand
@@ -49,6 +53,8 @@
   manifestDocument: string | null
   /** Failure domains taken out by `set-failure-domain`. */
   withdrawnDomains: FailureDomainId[]
+  /** Instances that may hold shares; a new leader that has heard all of them need not wait for leases to run out. */
+  instances: InstanceId[]
   /** Databases that keep no list of their own and were recorded, by name. */
   databases: DatabaseRecord[]
   /** Requests counted against the objectives of their workspaces. */
@@ -62,5 +68,6 @@
   | { kind: 'group-conflict', group: ReplicatedGroup }
   | { kind: 'failure-domain-set' }
   | { kind: 'database-recorded' }
+  | { kind: 'instances-recorded' }
   | { kind: 'requests-counted' }
   | { kind: 'barrier-passed' }
--- a/src/types/share-allocator.ts
+++ b/src/types/share-allocator.ts
@@ -28,6 +28,11 @@
 export interface ShareAllocator {
   /** Forgets everything and starts the wait of one share lease, in which only reported shares are adopted. */
   becomeLeader: (leaderTerm: number) => void
+  /**
+   * Names every instance that may hold a share of an earlier leader. Once all of them have reported to this leader, it need not wait
+   * for their leases to run out.
+   */
+  expectHolders: (instances: ReadonlySet<InstanceId>) => void
   /** Sets all resources; a smaller size takes effect as old shares are acknowledged or run out. */
   setResources: (resources: ReadonlyMap<ResourceId, ResourceSize>) => void
   /** Takes what a heartbeat reports: acknowledgements, adoption, demand. */
--- a/test/control/consensus-message-schema.test.ts
+++ b/test/control/consensus-message-schema.test.ts
@@ -16,6 +16,8 @@
     kind: 'record-database',
     database: { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('f'), startedAt: 1, role: 'replica', state: 'ready' }
   },
+  'record-instance': { kind: 'record-instance', instance: instanceId('i') },
+  'forget-instance': { kind: 'forget-instance', instance: instanceId('i') },
   'begin-election': { kind: 'begin-election', group: groupId('g'), term: 1 },
   'set-primary': { kind: 'set-primary', group: groupId('g'), term: 1, database: databaseId('d') },
   'count-requests': {
--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -21,7 +21,7 @@
 function stateOf (manifestVersion: number): ReplicatedState {
   const group = { id: groupId('g'), slots: 5, connections: 30 }
   const workspace = { id: 'w' as never, group: group.id, rate: 100, burst: 20, weight: 1, keys: [] }
-  return { manifestVersion, manifest: { formatVersion: 1, failureDomains: [], groups: [group], workspaces: [workspace], routes: [] }, serviceLevels: emptyServiceLevels(), acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], groups: [] }
+  return { manifestVersion, manifest: { formatVersion: 1, failureDomains: [], groups: [group], workspaces: [workspace], routes: [] }, serviceLevels: emptyServiceLevels(), acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], groups: [] }
 }
 
 /** A coordinator whose log does what the test says. */
--- a/test/reports/report-text.test.ts
+++ b/test/reports/report-text.test.ts
@@ -15,7 +15,7 @@
 
 const head: ReportHead = { freshness: { proven: true, leaderTerm: 7 }, madeBy: instanceId(LONG_NAME), madeAt: '2026-12-04T08:00:00.000Z' }
 const unproven: ReportHead = { ...head, freshness: { proven: false, reason: 'no-majority', leaderAddress: null } }
-const state: ReplicatedState = { manifestVersion: 4, manifest, acceptedDigests: [{ version: 4, digest: 'd'.repeat(64), operator: LONG_NAME }], manifestDocument: null, withdrawnDomains: [], databases: [], groups: [], serviceLevels: emptyServiceLevels() }
+const state: ReplicatedState = { manifestVersion: 4, manifest, acceptedDigests: [{ version: 4, digest: 'd'.repeat(64), operator: LONG_NAME }], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], groups: [], serviceLevels: emptyServiceLevels() }
 const summary = controlSummary([instanceSummary('fresh', 1500, 4), instanceSummary('stale', 1501, 4), instanceSummary('late', 100, 3), instanceSummary(LONG_NAME, 70_000, 4)])
 const burn: BurnReport = {
   report: 'burn',
--- a/test/support/operator-fixtures.ts
+++ b/test/support/operator-fixtures.ts
@@ -49,7 +49,7 @@
 
 /** A replicated log of one member with the compare-and-set rule of design section 5.2. */
 export function createFakeLog (): FakeLog {
-  const state: ReplicatedState = { manifestVersion: 0, manifest: null, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], groups: [], serviceLevels: emptyServiceLevels() }
+  const state: ReplicatedState = { manifestVersion: 0, manifest: null, acceptedDigests: [], manifestDocument: null, withdrawnDomains: [], databases: [], instances: [], groups: [], serviceLevels: emptyServiceLevels() }
   function apply (base: number, next: Manifest, digest: string, operator: string): CommandAnswer {
     const existing = state.acceptedDigests.find(({ version }) => version === base + 1)
     if (existing?.digest === digest) return { kind: 'manifest-accepted', manifestVersion: base + 1, resent: true }
