control: heartbeats are answered from the newest proof of leadership

Each heartbeat began a round of its own, up to 25 a second with 8 messages each. Its age counts suspended time.

--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -41,7 +41,7 @@
   timeOfDay: () => Date
   onFailure: (failure: StorageFailure) => void
   /** What the coordinator needs besides the log and the connections. */
-  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailover' | 'holders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'roundPauseMs'>>
+  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailover' | 'holders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxProofAgeMs'>>
   /** Differences of the replicated log from its defaults. */
   log?: Pick<ControlLogOptions, 'consensus' | 'snapshotThreshold'>
 }
--- a/src/control/control-log-options.ts
+++ b/src/control/control-log-options.ts
@@ -16,7 +16,7 @@
   /** Addresses of all members, this one included. */
   memberAddresses: readonly Address[]
   /** See the options of the consensus controller: seeds, formation, open membership, number of voters and times. */
-  consensus?: Partial<Pick<ConsensusOptions, 'seedAddresses' | 'mayForm' | 'openMembership' | 'targetVoters' | 'electionTimeoutMinMs' | 'electionTimeoutMaxMs' | 'heartbeatMs'>>
+  consensus?: Partial<Pick<ConsensusOptions, 'seedAddresses' | 'mayForm' | 'openMembership' | 'targetVoters' | 'proofClock' | 'electionTimeoutMinMs' | 'electionTimeoutMaxMs' | 'heartbeatMs'>>
   /** Path of the data folder. */
   dataFolder: string
   transport: ConsensusTransport
--- a/src/control/control-log-runner.ts
+++ b/src/control/control-log-runner.ts
@@ -140,6 +140,7 @@
       handle({ kind: 'confirm', confirmation: number })
       return await result
     },
+    provenMsAgo: () => isStopped ? null : controller.view().provenMsAgo,
     onChange: (listener) => { listeners.push(listener) },
     receive: (value) => {
       const message = checkConsensusMessage(value)
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -68,8 +68,8 @@
   recordInstances?: boolean
   /** Excess over rates and bursts that is shared out, too, so that small rates can be divided. Default: none. */
   rateTolerance?: RateTolerance
-  /** Shortest time between two proofs of leadership in ms; see the rounds. Default 10. */
-  roundPauseMs?: number
+  /** Age up to which a proof of leadership serves further heartbeats, in ms; an older one is renewed first. Default: each heartbeat gets its own. */
+  maxProofAgeMs?: number
   /** Whether the directory lists the control members, for instances whose settings may be out of date. Default false. */
   publishMembers?: boolean
 }
@@ -109,6 +109,7 @@
     switching: blackboard.reader(switchingGroupsEntry),
     changes: blackboard.reader(primaryChangesEntry)
   }
+  const maxProofAgeMs = options.maxProofAgeMs ?? -1
   const placesHolders = (options.holders ?? 'placed') === 'placed'
   const instances = createInstanceRegistry({ blackboard, clock, ...(options.instanceLostMs === undefined ? {} : { lostAfterMs: options.instanceLostMs }) })
   const databases = createDatabaseRegistry({ blackboard, clock })
@@ -119,7 +120,7 @@
   const lost = createLostInstances()
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, giveOrder: typeof orders === 'function' ? orders : giveToDatabases(orders), logEvent, deliver: failoverOutcome })
-  const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, roundPauseMs: options.roundPauseMs, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
+  const leadership = createLeadership<PendingAnswer>({ blackboard, clock, log, onBegin: leadershipBegan, onEstablished: established, onEnd: leadershipEnded, onConfirmed: answerAll, onRefused: refuseAll })
   const announcements = createDatabaseAnnouncements({ log, isEstablished: establishedNow, take: (announcement) => { takeAnnouncement(announcement, 0) } })
   const recordedInstances = createRecordedInstances({
     clock,
@@ -177,7 +178,7 @@
     for (const pending of waiting) answer(pending, state)
   }
 
-  function answer ({ connection, heartbeat }: PendingAnswer, state: PublishedState): void {
+  function answer ({ connection, heartbeat }: PendingAnswer, state: PublishedState, provenMsAgo = 0): void {
     // The connection may have ended, or the instance may have moved to another one, during the round.
     if (connections.ofInstance(heartbeat.instance) !== connection) return
     connections.pushMissing(connection, state)
@@ -186,6 +187,7 @@
       kind: 'heartbeat-answer',
       sequence: heartbeat.sequence,
       leaderTerm: leadership.term() ?? 0,
+      ...(provenMsAgo > 0 ? { provenMsAgo } : {}),
       manifestVersion: state.manifestVersion,
       // Until the first directory is published, no instance can hold what is named here, so none takes a lease.
       directoryVersion: state.directory?.version ?? { leaderTerm: leadership.term() ?? 0, counter: 0 },
@@ -204,7 +206,10 @@
     const { instance, incarnation, draining, leaderTerm, held, demand } = heartbeat
     allocator.report({ instance, incarnation, draining, leaderTerm, held, demand })
     failoverMessage({ kind: 'heartbeat-arrived' })
-    leadership.confirm(connection, { connection: connections.attach(connection), heartbeat })
+    const pending = { connection: connections.attach(connection), heartbeat }
+    const provenMsAgo = log.provenMsAgo()
+    if (provenMsAgo === null || provenMsAgo > maxProofAgeMs || !leadership.isEstablished()) leadership.confirm(connection, pending)
+    else answer(pending, publishedState(), provenMsAgo)
   }
 
   function takeAnnouncement (announcement: Announcement, ageMs: number): void {
--- a/src/control/leadership-rounds.ts
+++ b/src/control/leadership-rounds.ts
@@ -2,13 +2,11 @@
 import type { Clock } from '../types/clock.js'
 import type { ControlLogFailure } from '../types/control-log.js'
 
-/** Default of the shortest time between two rounds, in ms. It bounds the rounds at 710 instances with 1,420 heartbeats/s. */
+/** Shortest time between the starts of two rounds, in ms. It bounds the rounds at 710 instances with 1,420 heartbeats/s. */
 const ROUND_PAUSE_MS = 10
 
 export interface LeadershipRoundsOptions<Item> {
   clock: Clock
-  /** Shortest time between the starts of two rounds, in ms. Default 10. */
-  pauseMs?: number | undefined
   confirmLeadership: () => Promise<Result<number, ControlLogFailure>>
   /** Called with the items of a confirmed round and the confirmed term. */
   onConfirmed: (items: Item[], term: number) => void
@@ -28,14 +26,13 @@
 /** Creates the rounds of one leadership. */
 export function createLeadershipRounds<Item> (options: LeadershipRoundsOptions<Item>): LeadershipRounds<Item> {
   const { clock, confirmLeadership, onConfirmed, onRefused } = options
-  const pauseMs = options.pauseMs ?? ROUND_PAUSE_MS
   let waiting = new Map<string, Item>()
   let underWay: Map<string, Item> | null = null
   let lastStart = -Infinity
   let stopped = false
 
   function tick (): void {
-    if (underWay !== null || waiting.size === 0 || stopped || clock.now() - lastStart < pauseMs) return
+    if (underWay !== null || waiting.size === 0 || stopped || clock.now() - lastStart < ROUND_PAUSE_MS) return
     const batch = waiting
     waiting = new Map()
     underWay = batch
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -9,8 +9,6 @@
   blackboard: Blackboard
   clock: Clock
   log: ControlLog
-  /** Shortest time between the starts of two rounds, in ms. */
-  roundPauseMs?: number | undefined
   onBegin: (term: number) => void
   /** The state of the log is complete; what it says may be published. */
   onEstablished: () => void
@@ -55,7 +53,6 @@
     entry.write({ term: leading, since: clock.now() })
     rounds = createLeadershipRounds<Item>({
       clock,
-      pauseMs: options.roundPauseMs,
       confirmLeadership: log.confirmLeadership,
       onConfirmed: (items, confirmed) => {
         refresh()
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -9,7 +9,7 @@
 /** An idle connection is closed after this time, in milliseconds; the databases close theirs after a minute. */
 const IDLE_CLOSE_MS = 20_000
 /** An idle connection above this instance's part of the connections is closed after this time, in milliseconds. */
-const SURPLUS_CLOSE_MS = 1000
+const SURPLUS_CLOSE_MS = 4000
 /** After a database refused a connection because it has too many, none above the own part is opened for this long, in milliseconds. */
 const CROWDED_MS = 1000
 /** Time to open a connection in milliseconds: many round trips, and the time that a busy database takes. */
--- a/src/decisions/consensus/consensus-controller.ts
+++ b/src/decisions/consensus/consensus-controller.ts
@@ -27,6 +27,8 @@
   /** State after the entry `commitIndex`. */
   state: ReplicatedState
   log: ReplicatedLog
+  /** Age of the newest proof that this member leads, in milliseconds; null when it has none. */
+  provenMsAgo: number | null
 }
 
 export interface ConsensusController extends Controller<ConsensusInput, ConsensusEffect> {
@@ -144,7 +146,8 @@
       leaderAddress: core.leader?.entryAddress ?? null,
       commitIndex: core.commitIndex,
       state: core.state,
-      log: core.log
+      log: core.log,
+      provenMsAgo: leader?.provenMsAgo() ?? null
     })
   }
 }
--- a/src/decisions/consensus/consensus-options.ts
+++ b/src/decisions/consensus/consensus-options.ts
@@ -26,6 +26,8 @@
   /** Silence after which a surplus voter is removed. Default 1500: five election timeouts at the shortest. */
   surplusVoterSilenceMs?: number
   clock: Clock
+  /** Clock for the age of a proof of leadership; it must count time in which the machine was suspended. Default: `clock`. */
+  proofClock?: Clock
   /** @returns a number from 0 up to and without 1 */
   random: () => number
   /** State before the first entry. */
@@ -60,6 +62,7 @@
     learnerTimeoutMs: 5000,
     snapshotThreshold: 512,
     entriesPerAppend: 64,
+    proofClock: options.clock,
     seedAddresses: () => [],
     mayForm: true,
     openMembership: false,
--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -30,6 +30,8 @@
   handleAppendAnswer: (message: AppendAnswer) => void
   /** Takes the request of a member to join, if it is not in the membership. */
   handleProbe: (message: Probe) => void
+  /** @returns age of the newest round that a majority answered, in milliseconds; null before the first entry of the term is committed */
+  provenMsAgo: () => number | null
   /** Ends the leadership: open proposals become unknown, confirmations are refused. */
   end: (leaderAddress: Address | null) => void
 }
@@ -49,6 +51,9 @@
   let round = 0
   let roundBeganAt = options.clock.now()
   let ended = false
+  /** Begin of each round that no majority has answered yet, and of the newest answered one. */
+  const roundStarts = new Map<number, Milliseconds>()
+  let provenAt: Milliseconds | null = null
 
   const peers = (): ControlMember[] => core.log.members().filter((member) => member.member !== core.self)
   const isEstablished = (): boolean => core.commitIndex >= leadershipIndex
@@ -110,6 +115,7 @@
     round++
     roundBeganAt = options.clock.now()
     confirmations.roundBegan(round)
+    roundStarts.set(round, options.proofClock.now())
     replicate()
   }
 
@@ -118,11 +124,21 @@
     if (!isEstablished()) return
     if (confirmations.needsRound()) beginRound()
     const ackedRounds = voters(core).map((voter) => voter.member === core.self ? round : progress.of(voter.member).ackedRound)
-    const confirmed = confirmations.takeConfirmed(majorityValue(ackedRounds))
+    const answeredRound = majorityValue(ackedRounds)
+    noteProof(answeredRound)
+    const confirmed = confirmations.takeConfirmed(answeredRound)
     for (const confirmation of confirmed) effects.emit({ kind: 'confirmation-result', confirmation, result: ok(term) })
     if (confirmed.length > 0) settleConfirmations()
   }
 
+  function noteProof (answeredRound: number): void {
+    for (const [begun, at] of roundStarts) {
+      if (begun > answeredRound) break
+      provenAt = at
+      roundStarts.delete(begun)
+    }
+  }
+
   function commitByCounting (): void {
     const matches = voters(core).map((voter) => voter.member === core.self ? syncedIndex : progress.of(voter.member).matchIndex)
     const index = majorityValue(matches)
@@ -244,6 +260,7 @@
     },
     handleAppendAnswer,
     handleProbe,
+    provenMsAgo: () => isEstablished() && provenAt !== null ? Math.max(0, options.proofClock.now() - provenAt) : null,
     end
   }
 }
--- a/src/decisions/consensus/member-core.ts
+++ b/src/decisions/consensus/member-core.ts
@@ -78,7 +78,8 @@
     commitIndex: log.snapshotIndex(),
     state: restored.snapshot?.state ?? options.initialState
   }
-  postponeElection(core)
+  // No leader can be missed yet, so the first election waits for a part of the timeout only; pre-votes protect a leader that works.
+  core.electionDue = addTime(core.electionDue, options.random() * options.electionTimeoutMinMs)
   return core
 }
 
--- a/src/decisions/freshness/control-attachment.ts
+++ b/src/decisions/freshness/control-attachment.ts
@@ -158,8 +158,9 @@
     options.applyShares(answer, sentAt)
     if ((manifest.read()?.version ?? 0) < answer.manifestVersion) return
     if (!isSame(directory.read()?.version ?? null, answer.directoryVersion)) return
-    if (sentAt < current.provenAt) return
-    freshness.write({ provenAt: sentAt, validUntil: addTime(sentAt, leaseMs), leaderTerm: answer.leaderTerm })
+    const provenAt = addTime(sentAt, -(answer.provenMsAgo ?? 0))
+    if (provenAt < current.provenAt) return
+    freshness.write({ provenAt, validUntil: addTime(provenAt, leaseMs), leaderTerm: answer.leaderTerm })
   }
 
   function followLeader (message: NotLeader): AttachmentEffect[] {
--- a/src/types/control-log.ts
+++ b/src/types/control-log.ts
@@ -23,6 +23,8 @@
   propose: (command: Command) => Promise<Result<CommandAnswer, ControlLogFailure>>
   /** Resolves after a majority confirmed the leadership in a round begun after this call; the value is the term. */
   confirmLeadership: () => Promise<Result<number, ControlLogFailure>>
+  /** @returns age of the newest proof that this member leads, in milliseconds; null when it has none */
+  provenMsAgo: () => number | null
   /** Calls the listener after each applied command and each change of role or term. */
   onChange: (listener: () => void) => void
 }
--- a/src/types/control-message.ts
+++ b/src/types/control-message.ts
@@ -40,12 +40,14 @@
   releasedTerms: ReleasedTerm[]
 }
 
-/** Sent only after a majority confirmed the leader in a round begun after the heartbeat arrived. */
+/** Sent only after a majority confirmed the leader, in a round that began after the heartbeat arrived or `provenMsAgo` before the answer. */
 export interface HeartbeatAnswer {
   version: 1
   kind: 'heartbeat-answer'
   sequence: number
   leaderTerm: number
+  /** Age of the proof behind the answer, in milliseconds; absent: the proof is newer than the heartbeat. */
+  provenMsAgo?: number
   manifestVersion: number
   directoryVersion: DirectoryVersion
   /** Every share of this instance; a resource that is absent is not held any more. */
--- a/test/support/operator-fixtures.ts
+++ b/test/support/operator-fixtures.ts
@@ -65,6 +65,7 @@
     applyOnFailure: false,
     isLeader: () => log.fail === null,
     memberAddresses: () => [],
+    provenMsAgo: () => null,
     leaderAddress: () => log.fail === null ? address('127.0.0.1:1') : null,
     term: () => 7,
     state: () => state,
