sessions: connections above the own part are given up while a primary is changed; shares credit idle time

After a restart of all instances, buckets began empty though nobody had admitted anything for over a second.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -203,8 +203,8 @@
     if (outcome !== 'unchanged') instancesChanged()
     lost.remove(heartbeat.instance)
     for (const observation of heartbeat.observations) databases.observe(observation)
-    const { instance, incarnation, draining, leaderTerm, held, demand } = heartbeat
-    allocator.report({ instance, incarnation, draining, leaderTerm, held, demand })
+    const { instance, incarnation, draining, leaderTerm, idleMs = 0, held, demand } = heartbeat
+    allocator.report({ instance, incarnation, draining, leaderTerm, idleMs, held, demand })
     failoverMessage({ kind: 'heartbeat-arrived' })
     const pending = { connection: connections.attach(connection), heartbeat }
     const provenMsAgo = log.provenMsAgo()
--- a/src/decisions/caller-sessions/group-access.ts
+++ b/src/decisions/caller-sessions/group-access.ts
@@ -25,6 +25,8 @@
 export interface GroupAccess {
   /** @returns the primary, or null while it is being changed */
   primary: (group: GroupId) => UsablePrimary | null
+  /** @returns whether the primary of the group is being changed */
+  isChanging: (group: GroupId) => boolean
   /** @returns databases of the group that may get new work */
   databases: (group: GroupId) => readonly DirectoryDatabase[]
   find: (database: DatabaseId) => DirectoryDatabase | null
@@ -154,6 +156,7 @@
     releasedTerms,
     tick,
     databases: (group) => databasesByGroup.get(group) ?? [],
+    isChanging: (group) => (groups.get(group)?.phase ?? 'serving') !== 'serving',
     find: (database) => databasesById.get(database) ?? null,
     history: historyOf,
     changed: (limitMs) => new Promise((resolve) => {
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -61,6 +61,8 @@
   open: OpenDatabaseSession
   /** @returns connections that each database of a group accepts from all callers together */
   connectionLimit: (database: DirectoryDatabase) => number
+  /** @returns whether connections above the own part must be given up, as the system itself needs some */
+  mustSpare: (database: DirectoryDatabase) => boolean
   /** @returns instances that share the connections */
   instanceCount: () => number
   after: (durationMs: number, callback: () => void) => () => void
@@ -106,6 +108,7 @@
   function mayOpen (database: DirectoryDatabase, pool: DatabaseConnections): boolean {
     const used = pool.all.size + pool.openingCount
     if (used < ownPart(database)) return true
+    if (options.mustSpare(database)) return false
     return clock.now() >= pool.crowdedUntil && used < options.connectionLimit(database) - SYSTEM_CONNECTIONS
   }
 
@@ -224,11 +227,10 @@
       return
     }
     pool.idle.delete(pooled)
+    const database = lastListed.get(pooled.database)
+    if (database !== undefined && pool.all.size > ownPart(database) && options.mustSpare(database)) return end(pool, pooled)
     pool.idle.set(pooled, clock.now())
-    if (pool.waiters.length > 0) {
-      const database = lastListed.get(pooled.database)
-      if (database !== undefined) openForWaiters(database, pool)
-    }
+    if (pool.waiters.length > 0 && database !== undefined) openForWaiters(database, pool)
   }
 
   function discard (pooled: PooledSession): void {
@@ -265,7 +267,7 @@
       let surplus = pool.all.size + pool.openingCount - ownPart(database)
       for (const [pooled, since] of [...pool.idle]) {
         const isOld = now - since >= IDLE_CLOSE_MS
-        const isSurplus = surplus > 0 && now - since >= SURPLUS_CLOSE_MS
+        const isSurplus = surplus > 0 && (now - since >= SURPLUS_CLOSE_MS || options.mustSpare(database))
         if (!isOld && !isSurplus) continue
         end(pool, pooled)
         surplus--
--- a/src/decisions/freshness/heartbeat-codec.ts
+++ b/src/decisions/freshness/heartbeat-codec.ts
@@ -41,6 +41,8 @@
       manifestVersion,
       directoryVersion,
       sender,
+      // It matters only to a new leader, and only while nothing is held.
+      ...(heartbeat.idleMs === undefined || heartbeat.idleMs === 0 ? {} : { idleMs: heartbeat.idleMs }),
       held: held.encode(heartbeat.held),
       demand: demand.encode(heartbeat.demand),
       observations: observations.encode(heartbeat.observations.map(withoutNoise)),
@@ -70,6 +72,7 @@
       manifestVersion,
       directoryVersion,
       ...sender,
+      ...(compact.idleMs === undefined ? {} : { idleMs: compact.idleMs }),
       held: held.decode(compact.held),
       demand: demand.decode(compact.demand),
       observations: observations.decode(compact.observations),
--- a/src/decisions/limits/share-account.ts
+++ b/src/decisions/limits/share-account.ts
@@ -11,6 +11,8 @@
   draining: boolean
   /** Whether the instance has reported under the term of this leader. Nothing is granted to it before. */
   termKnown: boolean
+  /** Time without any share before its first report to this leader, in milliseconds. */
+  idleMs: number
   /** Another incarnation of the instance has reported later. */
   superseded: boolean
   reportedAt: Milliseconds
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -92,12 +92,21 @@
     if (expected === null || now >= grantsBegin) return
     for (const instance of expected) if (clients.get(instance)?.termKnown !== true) return
     grantsBegin = now
+    const idleMs = [...expected].reduce((least, instance) => Math.min(least, clients.get(instance)?.idleMs ?? 0), Infinity)
     for (const shares of resources.values()) {
       recountReserve(shares, now)
+      if (Number.isFinite(idleMs)) creditIdleTime(shares, idleMs)
       shares.dirty = true
     }
   }
 
+  /** While nobody held a share, nothing was admitted, so the tokens of that time are there. */
+  function creditIdleTime (shares: ResourceShares, idleMs: number): void {
+    const { size } = shares
+    if (size === null || size.whole) return
+    shares.tokens = Math.min(size.burst, shares.tokens + size.amount * idleMs / 1000)
+  }
+
   function isResponsive (account: ShareAccount): boolean {
     const { client } = account
     return !client.superseded && client.termKnown && clock.now() - client.reportedAt <= unresponsiveAfterMs
@@ -127,7 +136,7 @@
 
   function newClient (report: ShareReport): ShareClient {
     const { instance, incarnation } = report
-    return { instance, incarnation, draining: false, termKnown: false, superseded: false, reportedAt: clock.now(), demand: new Map(), askedUntil: clock.now(), accounts: new Map(), urgent: false }
+    return { instance, incarnation, draining: false, termKnown: false, idleMs: 0, superseded: false, reportedAt: clock.now(), demand: new Map(), askedUntil: clock.now(), accounts: new Map(), urgent: false }
   }
 
   function accountOf (client: ShareClient, shares: ResourceShares): ShareAccount {
@@ -189,6 +198,7 @@
     const returned = now - client.reportedAt > unresponsiveAfterMs
     client.reportedAt = now
     if (report.leaderTerm === leaderTerm && report.leaderTerm > 0) {
+      if (!client.termKnown) client.idleMs = report.idleMs ?? 0
       client.termKnown = true
       for (const held of report.held) takeHeld(client, held)
     }
--- a/src/decisions/limits/share-holder-options.ts
+++ b/src/decisions/limits/share-holder-options.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from '../../blackboard/blackboard.js'
-import type { Clock } from '../../types/clock.js'
+import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { ResourceId } from '../../types/ids.js'
 import type { DemandSource } from './demand-report.js'
 import type { TokenBuckets } from './token-buckets.js'
@@ -16,6 +16,8 @@
    * Default: nothing is in use.
    */
   usedOf?: (resource: ResourceId) => number
+  /** Since when this run has certainly admitted nothing. Default: the creation of the holder. */
+  startedAt?: Milliseconds
   /** Shortest time between extra heartbeats that ask for share, in milliseconds. Default: 20. */
   askGapMs?: number
   /** Extra heartbeats per second that may ask for share, on average. Default: 10. */
@@ -28,6 +30,7 @@
 export function resolveShareHolderOptions (options: ShareHolderOptions): Required<ShareHolderOptions> {
   return {
     ...options,
+    startedAt: options.startedAt ?? options.clock.now(),
     usedOf: options.usedOf ?? (() => 0),
     askGapMs: options.askGapMs ?? 20,
     asksPerSecond: options.asksPerSecond ?? 10,
--- a/src/decisions/limits/share-holder.ts
+++ b/src/decisions/limits/share-holder.ts
@@ -1,7 +1,7 @@
 import type { LeasedShare } from '../../blackboard/entry-instance-entries.js'
 import { sharesEntry } from '../../blackboard/entry-instance-entries.js'
 import type { Milliseconds } from '../../types/clock.js'
-import { addTime } from '../../types/clock.js'
+import { addTime, milliseconds } from '../../types/clock.js'
 import type { HeartbeatAnswer } from '../../types/control-message.js'
 import type { Controller } from '../../types/controller.js'
 import type { ResourceId } from '../../types/ids.js'
@@ -24,6 +24,8 @@
 
 /** The part of a heartbeat that the share holder fills in. */
 export interface HeartbeatShares {
+  /** Time in which this run has held no share and so admitted nothing, in milliseconds. */
+  idleMs: number
   leaderTerm: number
   held: HeldShare[]
   demand: ShareDemand[]
@@ -57,6 +59,7 @@
   const records = new Map<ResourceId, ShareRecord>()
   const sentHeartbeats = new Map<number, SentHeartbeat>()
   let leaderTerm = 0
+  let heldUntil = options.startedAt ?? clock.now()
   let appliedSequence = -1
   let acknowledgementDue = false
 
@@ -87,8 +90,10 @@
       if (validUntil <= record.validUntil) return
       buckets.extend(resource, validUntil)
       record.validUntil = validUntil
+      heldUntil = milliseconds(Math.max(heldUntil, validUntil))
       return
     }
+    heldUntil = milliseconds(Math.max(heldUntil, validUntil))
     const returnedTokens = buckets.resize(resource, { amount, burst }, granted.tokens, validUntil)
     const reduced = record !== undefined && (amount < record.amount || burst < record.burst)
     const acknowledged = record?.acknowledged ?? { grant: 0, amount: 0, burst: 0 }
@@ -144,7 +149,7 @@
     acknowledgementDue = false
     const demands = readDemands()
     requests.noteSent(demands)
-    return { leaderTerm, held, demand: demands.filter(({ amount }) => amount > 0).map(({ resource, amount }) => ({ resource, amount })) }
+    return { idleMs: Math.max(0, now - heldUntil), leaderTerm, held, demand: demands.filter(({ amount }) => amount > 0).map(({ resource, amount }) => ({ resource, amount })) }
   }
 
   function tick (): SendHeartbeat[] {
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -91,6 +91,7 @@
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
     }
+    dropReplaced(announcement, run)
     databases.set(database, { announcement, departing, announcedAt: now, status, statusAt: now })
     entry.write(databases)
     const outcome = outcomeOf(known, announcement, departing)
@@ -98,6 +99,14 @@
     return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
   }
 
+  /** A database at the address of an earlier run has taken its place, under whatever name. */
+  function dropReplaced ({ database, address }: Announcement, run: DatabaseRun): void {
+    for (const [other, { announcement }] of databases) {
+      const isEarlier = announcement.run !== undefined && announcement.run.startedAt < run.startedAt
+      if (other !== database && announcement.address === address && isEarlier) databases.delete(other)
+    }
+  }
+
   function update (status: DatabaseStatus, statusAt: Milliseconds): void {
     const known = databases.get(status.database)
     if (known === undefined || statusAt < known.statusAt || !isCurrent(known, status)) return
--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -6,7 +6,7 @@
   leaseEndMs: number
   /** Longest pause between two announcements of a database that runs. */
   announcementMs: number
-  /** Silence of a primary towards most instances after which it is replaced. Default 600: several statements of usual length. */
+  /** Silence of a primary towards most instances after which it is replaced. Default 400: several tries to connect, or several statements of usual length. */
   primarySilentMs: number
   /** An order without an answer is given again after this time. Default 500. */
   orderRetryMs: number
@@ -34,7 +34,7 @@
 /** @returns all times, with defaults filled in */
 export function resolvePromotionTimes (settings: PromotionSettings): PromotionTimes {
   return {
-    primarySilentMs: 600,
+    primarySilentMs: 400,
     orderRetryMs: 500,
     candidateWaitMs: 250,
     promotionGiveUpMs: 4000,
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -16,6 +16,7 @@
 import { createTokenBuckets } from '../decisions/limits/token-buckets.js'
 import { createWorkspaceLimiter } from '../decisions/limits/workspace-limiter.js'
 import type { Clock } from '../types/clock.js'
+import { milliseconds } from '../types/clock.js'
 import type { OpenDatabaseSession } from '../types/database-session.js'
 import type { DatabaseId, InstanceId } from '../types/ids.js'
 import type { Address, FailureDomainId } from '../types/ids.js'
@@ -35,6 +36,8 @@
  * make every operation of a workspace above its rate late.
  */
 const RATE_WAIT_MS = 50
+/** The clock counts from the start of the process. */
+const PROCESS_START = milliseconds(0)
 const INCARNATION_BYTES = 8
 /** A transaction may idle for this long when the manifest sets no limit, in milliseconds. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000
@@ -88,13 +91,14 @@
   const access = createGroupAccess({ clock, blackboard, after: callAfter, onReleased: () => { link.handle({ kind: 'heartbeat-wanted' }) } })
   const buckets = createTokenBuckets(clock)
   const limiter = createWorkspaceLimiter({ clock, blackboard, buckets, maxWaitMs: RATE_WAIT_MS })
-  const shareHolder = createShareHolder({ clock, blackboard, buckets, demandSources: [limiter.demand] })
+  const shareHolder = createShareHolder({ clock, blackboard, buckets, demandSources: [limiter.demand], startedAt: PROCESS_START })
   const admission = createAdmission(limiter, () => { wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' })) })
   const pool = createSessionPool({
     clock,
     health,
     open: options.open,
     connectionLimit: ({ group }) => endpoints.connectionLimit(group),
+    mustSpare: ({ group }) => access.isChanging(group),
     instanceCount: () => directory.read()?.instances.length ?? 1,
     after: callAfter
   })
--- a/src/types/compact-message.ts
+++ b/src/types/compact-message.ts
@@ -10,6 +10,7 @@
   kind: 'compact-heartbeat'
   /** Null: as in the first heartbeat of the connection. */
   sender: HeartbeatSender | null
+  idleMs?: number
   held: ListDelta<HeldShare>
   demand: ListDelta<ShareDemand>
   observations: ListDelta<DatabaseObservation>
--- a/src/types/control-message.ts
+++ b/src/types/control-message.ts
@@ -34,6 +34,8 @@
   /** 0: holds none. */
   manifestVersion: number
   directoryVersion: DirectoryVersion | null
+  /** Time in which this run has held no share, in milliseconds; absent: unknown. */
+  idleMs?: number
   held: HeldShare[]
   demand: ShareDemand[]
   observations: DatabaseObservation[]
--- a/src/types/share-allocator.ts
+++ b/src/types/share-allocator.ts
@@ -20,6 +20,8 @@
   draining: boolean
   /** Term of the leader that the instance last heard of. */
   leaderTerm: number
+  /** Time in which the instance has held no share, in milliseconds; absent: unknown. */
+  idleMs?: number
   held: readonly HeldShare[]
   demand: readonly ShareDemand[]
 }
