--- a/src/decisions/caller-sessions/choose-database.ts
+++ b/src/decisions/caller-sessions/choose-database.ts
@@ -7,11 +7,11 @@
 import type { SessionPool } from './session-pool.js'
 
 /** Cost of a choice in milliseconds of expected delay. */
-const OTHER_DOMAIN_MS = 30
+const OTHER_DOMAIN_MS = 25
 /** Spares the primary, which alone can run writes. */
 const PRIMARY_MS = 12
 /** Opening a connection takes a few round trips and a slot. */
-const OPEN_CONNECTION_MS = 25
+const OPEN_CONNECTION_MS = 45
 /** All connections are in use. */
 const NO_CONNECTION_MS = 60
 /** A replica that lagged too far is tried again after this time, in milliseconds. */
--- /dev/null
+++ b/test/platform/line-reader.test.ts
@@ -0,0 +1,28 @@
+import t from 'tap'
+import { createLineReader, splitWord } from '../../platform/line-reader.js'
+
+t.test('lines arrive whole however the bytes are split', async (t) => {
+  const text = 'START a b\r\nQUERY 1 READ x\r\n'
+  for (let size = 1; size <= text.length; size++) {
+    const reader = createLineReader()
+    const lines: string[] = []
+    for (let start = 0; start < text.length; start += size) lines.push(...reader.push(Buffer.from(text.slice(start, start + size))) ?? [])
+    t.same(lines, ['START a b', 'QUERY 1 READ x'], `pieces of ${size} bytes`)
+  }
+})
+
+t.test('a line over the limit is refused, finished or not', async (t) => {
+  t.equal(createLineReader(8).push(Buffer.from('123456789\r\n')), null)
+  t.equal(createLineReader(8).push(Buffer.from('123456789')), null)
+})
+
+t.test('bytes above 127 pass through unchanged', async (t) => {
+  const bytes = Buffer.from([0xc3, 0xa9, 0xff, 13, 10])
+  const [line = ''] = createLineReader().push(bytes) ?? []
+  t.same(Buffer.from(line, 'latin1'), bytes.subarray(0, 3))
+})
+
+t.test('the last field extends to the end of the line', async (t) => {
+  t.same(splitWord('a b  c'), ['a', 'b  c'])
+  t.same(splitWord('a'), ['a', ''])
+})
