--- a/src/adapters/logs/create-line-writer.ts
+++ b/src/adapters/logs/create-line-writer.ts
@@ -9,6 +9,8 @@
   burst?: number
   /** Bytes that may wait for the output. Default 256 KiB. */
   maxWaitingBytes?: number
+  /** Calls back once, a little later. Default: after 200 ms, without keeping the process alive. */
+  callLater?: (callback: () => void) => void
   /** @returns time in milliseconds */
   now: () => number
   /** Makes the line that tells how many lines were dropped. */
@@ -34,6 +36,7 @@
 /** Creates a writer of bounded volume that never blocks. */
 export function createLineWriter (options: LineWriterOptions): LineWriter {
   const { now, composeDropped } = options
+  const callLater = options.callLater ?? ((callback) => { setTimeout(callback, COLLECT_MS).unref() })
   const writeText = options.writeText ?? writeToStandardOutput
   const linesPerSecond = options.linesPerSecond ?? 200
   const burst = options.burst ?? 400
@@ -63,7 +66,7 @@
   function schedule (): void {
     if (isScheduled) return
     isScheduled = true
-    setTimeout(flush, COLLECT_MS).unref()
+    callLater(flush)
   }
 
   function add (line: string): void {
--- /dev/null
+++ b/test/adapters/logs/create-line-writer.test.ts
@@ -0,0 +1,31 @@
+import t from 'tap'
+import { createLineWriter } from '../../../src/adapters/logs/create-line-writer.js'
+
+t.test('lines above the rate are dropped, counted and told', async (t) => {
+  let now = 0
+  const written: string[] = []
+  let flush = (): void => {}
+  const writer = createLineWriter({
+    now: () => now,
+    callLater: (callback) => { flush = callback },
+    burst: 3,
+    linesPerSecond: 10,
+    composeDropped: (dropped) => `dropped ${dropped}`,
+    writeText: (text, done) => {
+      written.push(text)
+      done()
+    }
+  })
+  for (let line = 1; line <= 5; line++) writer.write(`line ${line}`)
+  now = 1000
+  writer.write('later')
+  flush()
+  t.equal(written.join(''), 'line 1\nline 2\nline 3\ndropped 2\nlater\n')
+  t.equal(writer.droppedCount(), 2)
+})
+
+t.test('an output that takes nothing holds up nobody and keeps a bounded amount', async (t) => {
+  const writer = createLineWriter({ now: () => 0, burst: 1000, maxWaitingBytes: 100, composeDropped: () => '', writeText: () => {} })
+  for (let line = 0; line < 500; line++) writer.write('x'.repeat(9))
+  t.equal(writer.droppedCount(), 489)
+})
--- /dev/null
+++ b/test/decisions/membership/database-runs.test.ts
@@ -0,0 +1,55 @@
+import t from 'tap'
+import { announcedStatus, judgeAnnouncement, recordedAnnouncement } from '../../../src/decisions/membership/database-runs.js'
+import { applyCommand, emptyReplicatedState } from '../../../src/decisions/manifest/apply-command.js'
+import type { Announcement } from '../../../src/types/database-status.js'
+import { address, databaseId, failureDomainId, groupId } from '../../../src/types/ids.js'
+import type { DatabaseRecord } from '../../../src/types/replicated-state.js'
+
+function announcement (name: string, startedAt: number, changes: Partial<Announcement> = {}, gone = false): Announcement {
+  const database = databaseId(name)
+  return { database, group: groupId('g'), address: address('10.0.0.1:1'), failureDomain: failureDomainId('f'), departing: false, run: { startedAt, sequence: 1, gone }, status: announcedStatus(database, startedAt, 'replica'), ...changes }
+}
+
+function recordOf (given: Announcement, records: DatabaseRecord[] = []): DatabaseRecord {
+  const verdict = judgeAnnouncement(records, given)
+  if (verdict.kind !== 'new') throw new Error(verdict.kind)
+  return verdict.record
+}
+
+t.test('a first announcement is recorded, a repeated one is known, a change of role or state is recorded again', async (t) => {
+  const record = recordOf(announcement('d', 10))
+  t.match(record, { database: 'd', startedAt: 10, state: 'ready', role: 'replica' })
+  t.equal(judgeAnnouncement([record], announcement('d', 10)).kind, 'known')
+  t.equal(judgeAnnouncement([record], announcement('d', 10, { departing: true })).kind, 'new')
+  t.equal(judgeAnnouncement([record], announcement('d', 10, { status: announcedStatus(databaseId('d'), 10, 'primary') })).kind, 'new')
+})
+
+t.test('an announcement of an earlier run, or of one that has ended, names nothing', async (t) => {
+  const record = recordOf(announcement('d', 10))
+  t.equal(judgeAnnouncement([record], announcement('d', 9)).kind, 'ignored')
+  const gone = recordOf(announcement('d', 10, {}, true), [record])
+  t.equal(judgeAnnouncement([gone], announcement('d', 10)).kind, 'ignored')
+  t.equal(judgeAnnouncement([gone], announcement('d', 11)).kind, 'new')
+})
+
+t.test('a database that departs stays departing for the rest of its run, at every leader', async (t) => {
+  const record = recordOf(announcement('d', 10, { departing: true }))
+  t.match(judgeAnnouncement([record], announcement('d', 10)), { kind: 'known', announcement: { departing: true } })
+  t.equal(recordedAnnouncement(record).departing, true)
+  t.match(judgeAnnouncement([record], announcement('d', 11)), { kind: 'new', announcement: { departing: false } })
+})
+
+t.test('a later run at an address replaces the database that was there, and its late announcements name nothing', async (t) => {
+  let state = emptyReplicatedState()
+  for (const given of [announcement('old', 10), announcement('new', 11)]) {
+    state = applyCommand(state, { kind: 'record-database', database: recordOf(given, state.databases) }).state
+  }
+  t.same(state.databases.map(({ database }) => database), ['new'])
+  t.equal(judgeAnnouncement(state.databases, announcement('old', 10)).kind, 'ignored')
+})
+
+t.test('an earlier run that reaches the log late changes nothing', async (t) => {
+  const late = recordOf(announcement('d', 9))
+  const state = applyCommand(emptyReplicatedState(), { kind: 'record-database', database: recordOf(announcement('d', 10)) }).state
+  t.equal(applyCommand(state, { kind: 'record-database', database: late }).state, state)
+})
--- /dev/null
+++ b/test/decisions/promotion/promotion.test.ts
@@ -0,0 +1,229 @@
+import t from 'tap'
+import { createBlackboard } from '../../../src/blackboard/blackboard.js'
+import {
+  databaseWeightsEntry, holdersEntry, leadershipEntry, publishedDirectoryEntry, registeredDatabasesEntry, registeredInstancesEntry, replicatedStateEntry
+} from '../../../src/blackboard/control-instance-entries.js'
+import type { RegisteredDatabase, RegisteredInstance } from '../../../src/blackboard/control-instance-entries.js'
+import type { FailoverEffect, GroupCommand, SentOrder } from '../../../src/decisions/failover/failover-message.js'
+import { announcedStatus } from '../../../src/decisions/membership/database-runs.js'
+import { PROMOTION_REFUSED, createPromotion } from '../../../src/decisions/promotion/promotion.js'
+import { milliseconds } from '../../../src/types/clock.js'
+import type { Directory, GroupPhase } from '../../../src/types/directory.js'
+import type { DatabaseId, InstanceId } from '../../../src/types/ids.js'
+import { address, databaseId, failureDomainId, groupId, instanceId } from '../../../src/types/ids.js'
+import type { ReplicatedGroup } from '../../../src/types/replicated-state.js'
+import { emptyServiceLevels } from '../../../src/types/service-level.js'
+import { createFakeClock } from '../../support/fake-clock.js'
+import { registeredInstance } from '../failover/fixtures/group-harness.js'
+
+const GROUP = groupId('g')
+const LEASE_END_MS = 2000
+const ANNOUNCEMENT_MS = 1000
+
+/** One group of databases p, r and s; the test plays the log, the databases, the authority and the instances. */
+function createHarness (options: { acknowledgingReplicas?: number, replicated?: Partial<ReplicatedGroup> } = {}) {
+  const clock = createFakeClock(100_000)
+  const blackboard = createBlackboard()
+  const leadership = blackboard.claim(leadershipEntry, 'test')
+  const state = blackboard.claim(replicatedStateEntry, 'test')
+  const databases = blackboard.claim(registeredDatabasesEntry, 'test')
+  const weights = blackboard.claim(databaseWeightsEntry, 'test')
+  const directory = blackboard.claim(publishedDirectoryEntry, 'test')
+  const instances = blackboard.claim(registeredInstancesEntry, 'test')
+  blackboard.claim(holdersEntry, 'test')
+  leadership.write({ term: 1, since: milliseconds(0) })
+  weights.write(new Map(['p', 'r', 's'].map((name) => [databaseId(name), 1])))
+  let group: ReplicatedGroup = { group: GROUP, term: 1, primary: databaseId('p'), phase: 'serving', ...options.replicated }
+  let counter = 0
+  let sequence = 0
+  const promotion = createPromotion({ blackboard, clock, times: { leaseEndMs: LEASE_END_MS, announcementMs: ANNOUNCEMENT_MS } })
+
+  function writeState (): void {
+    const groups = [{ id: GROUP, slots: 1, connections: 30, acknowledgingReplicas: options.acknowledgingReplicas }]
+    state.write({
+      manifestVersion: 1,
+      manifest: { formatVersion: 1, failureDomains: [], groups, workspaces: [], routes: [] },
+      acceptedDigests: [],
+      manifestDocument: null,
+      withdrawnDomains: [],
+      databases: [],
+      instances: [],
+      serviceLevels: emptyServiceLevels(),
+      groups: [group]
+    })
+  }
+
+  function announce (name: string, role: 'primary' | 'replica'): FailoverEffect[] {
+    const id = databaseId(name)
+    const status = announcedStatus(id, 1, role)
+    const announcement = { database: id, group: GROUP, address: address(`${name}:1`), failureDomain: failureDomainId(name), departing: false, run: { startedAt: 1, sequence: ++sequence, gone: false }, status }
+    const registered: RegisteredDatabase = { announcement, departing: false, announcedAt: clock.now(), status, statusAt: clock.now() }
+    databases.write(new Map([...databases.read(), [id, registered]]))
+    return promotion.tick()
+  }
+
+  function publish (phase: GroupPhase): FailoverEffect[] {
+    const published: Directory = { version: { leaderTerm: 1, counter: ++counter }, instances: [], databases: [], groups: [{ group: GROUP, term: group.term, primary: group.primary, phase, holders: [] }] }
+    directory.write(published)
+    return promotion.handle({ kind: 'directory-published', directory: published })
+  }
+
+  /** Heartbeat of an instance that holds the newest directory, unless it is behind. */
+  function report (name: string, releasedTerm: number, changes: Partial<RegisteredInstance> = {}): FailoverEffect[] {
+    const instance = registeredInstance(name, { lastHeartbeatAt: clock.now(), directoryVersion: { leaderTerm: 1, counter }, releasedTerms: [{ group: GROUP, term: releasedTerm }], ...changes })
+    instances.write(new Map<InstanceId, RegisteredInstance>([...instances.read(), [instanceId(name), instance]]))
+    return promotion.handle({ kind: 'heartbeat-arrived' })
+  }
+
+  const silence = (name: string, silentForMs: number): Partial<RegisteredInstance> => ({ observations: new Map([[databaseId(name), { status: null, silentForMs, arrivedAt: clock.now() }]]) })
+
+  /** Accepts a proposal as the log would. */
+  function accept (command: GroupCommand): FailoverEffect[] {
+    group = command.kind === 'begin-election'
+      ? { group: GROUP, term: command.term, primary: null, phase: 'electing' }
+      : { group: GROUP, term: command.term, primary: command.database, phase: 'serving' }
+    writeState()
+    const effects = promotion.handle({ kind: 'proposal-answered', leaderTerm: 1, command, answer: { kind: 'group-changed', group } })
+    return [...effects, ...publish(group.phase)]
+  }
+
+  function answerStatus (order: SentOrder, offset: number, role: 'primary' | 'replica' = 'replica'): FailoverEffect[] {
+    const status = { ...announcedStatus(order.database, 1, role), term: 1, position: { term: 1, offset } }
+    return promotion.handle({ kind: 'order-answered', order, status })
+  }
+
+  writeState()
+  for (const name of ['p', 'r', 's']) announce(name, name === 'p' ? 'primary' : 'replica')
+  publish(group.phase)
+  return {
+    clock,
+    promotion,
+    announce,
+    publish,
+    report,
+    silence,
+    accept,
+    answerStatus,
+    setWeight: (name: string, weight: number) => { weights.write(new Map([...weights.read(), [databaseId(name), weight]])) },
+    advance: (durationMs: number) => {
+      clock.advance(durationMs)
+      return promotion.tick()
+    },
+    /** Replaces the leadership by a new one of this member. */
+    lead: (term: number) => {
+      leadership.write({ term, since: clock.now() })
+      promotion.reset()
+    }
+  }
+}
+
+const ordersIn = (effects: readonly FailoverEffect[], kind: string): SentOrder[] => effects.flatMap((effect) => effect.kind === 'order' && effect.order.action.kind === kind ? [effect.order] : [])
+const commandIn = (effects: readonly FailoverEffect[]): GroupCommand | undefined => effects.flatMap((effect) => effect.kind === 'propose' ? [effect.command] : [])[0]
+const orderOf = (orders: readonly SentOrder[], name: string): SentOrder => orders.find(({ database }) => database === name as DatabaseId) as SentOrder
+
+/** Takes the group to the promotion of a replica after the loss of its primary. */
+function lose (harness: ReturnType<typeof createHarness>, offsets: Record<string, number>): FailoverEffect[] {
+  harness.clock.advance(500)
+  for (const name of ['a', 'b', 'c']) harness.report(name, 0, harness.silence('p', 450))
+  const begin = commandIn(harness.advance(100)) as GroupCommand
+  harness.accept(begin)
+  for (const name of ['a', 'b']) harness.report(name, 1)
+  const asked = ordersIn(harness.report('c', 1), 'status')
+  let effects: FailoverEffect[] = []
+  for (const [name, offset] of Object.entries(offsets)) effects = harness.answerStatus(orderOf(asked, name), offset)
+  return effects
+}
+
+t.test('a lost primary is replaced by the replica that has received most, under the term as fencing token', async (t) => {
+  const harness = createHarness()
+  const [order] = ordersIn(lose(harness, { r: 8, s: 9 }), 'promote')
+  t.match(order, { database: 's', action: { kind: 'promote', term: 2 } })
+  t.same(commandIn(harness.promotion.handle({ kind: 'order-answered', order: order as SentOrder, status: announcedStatus(databaseId('s'), 0, 'replica') })), undefined, 'accepted is not yet carried out')
+  harness.clock.advance(600)
+  t.match(commandIn(harness.announce('s', 'primary')), { kind: 'set-primary', term: 2, database: 's' })
+})
+
+t.test('silence of a minority, or silence before an announcement, replaces nothing', async (t) => {
+  const minority = createHarness()
+  minority.clock.advance(500)
+  minority.report('a', 0, minority.silence('p', 450))
+  for (const name of ['b', 'c']) minority.report(name, 0, minority.silence('p', 0))
+  t.equal(commandIn(minority.advance(100)), undefined)
+  const announced = createHarness()
+  announced.clock.advance(500)
+  announced.announce('p', 'primary')
+  for (const name of ['a', 'b', 'c']) announced.report(name, 0, announced.silence('p', 450))
+  t.equal(commandIn(announced.advance(100)), undefined)
+})
+
+t.test('no promotion is ordered before every instance released the old term, or its lease ran out', async (t) => {
+  const harness = createHarness()
+  harness.clock.advance(500)
+  for (const name of ['a', 'b', 'c']) harness.report(name, 0, harness.silence('p', 450))
+  harness.accept(commandIn(harness.advance(100)) as GroupCommand)
+  harness.report('a', 1)
+  t.same(ordersIn(harness.report('b', 1), 'status'), [])
+  harness.report('c', 1, { directoryVersion: { leaderTerm: 1, counter: 1 } })
+  t.same(ordersIn(harness.advance(LEASE_END_MS - 100), 'status'), [], 'c holds an older directory')
+  t.equal(ordersIn(harness.advance(200), 'status').length, 3)
+})
+
+t.test('an order that is not answered is repeated for the same database and token', async (t) => {
+  const harness = createHarness()
+  const [first] = ordersIn(lose(harness, { r: 8, s: 9 }), 'promote')
+  const [second] = ordersIn(harness.advance(600), 'promote')
+  t.match(second, { database: first?.database, action: first?.action })
+})
+
+t.test('another database is promoted only under a new token', async (t) => {
+  const harness = createHarness()
+  const [order] = ordersIn(lose(harness, { r: 8, s: 9 }), 'promote')
+  harness.clock.advance(400)
+  const effects = harness.promotion.handle({ kind: 'order-failed', order: order as SentOrder, failure: { sqlState: PROMOTION_REFUSED, message: 'refused' } })
+  t.match(commandIn(effects), { kind: 'begin-election', term: 3 })
+})
+
+t.test('a leader that finds an election begun starts a new term, and confirms a primary that runs by a promotion', async (t) => {
+  const harness = createHarness({ replicated: { term: 4, primary: null, phase: 'electing' } })
+  harness.lead(2)
+  const begin = commandIn(harness.promotion.tick())
+  t.match(begin, { kind: 'begin-election', term: 5 })
+})
+
+t.test('where commits wait for replicas, every replica must tell its position', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  t.same(ordersIn(lose(harness, { r: 8 }), 'promote'), [])
+  t.same(ordersIn(harness.advance(400), 'promote'), [], 's may hold an acknowledged commit that r lacks')
+})
+
+t.test('a planned change promotes only a database that has caught up', async (t) => {
+  const harness = createHarness()
+  harness.clock.advance(5000)
+  for (const name of ['p', 'r', 's']) harness.announce(name, name === 'p' ? 'primary' : 'replica')
+  harness.report('a', 0)
+  harness.setWeight('p', 0)
+  harness.advance(100)
+  harness.publish('switching')
+  const asked = ordersIn(harness.report('a', 1), 'status')
+  harness.answerStatus(orderOf(asked, 'p'), 10, 'primary')
+  t.equal(commandIn(harness.answerStatus(orderOf(asked, 'r'), 9)), undefined)
+  const again = ordersIn(harness.advance(100), 'status')
+  harness.answerStatus(orderOf(again, 'p'), 10, 'primary')
+  t.match(commandIn(harness.answerStatus(orderOf(again, 's'), 10)), { kind: 'begin-election', term: 2 })
+})
+
+t.test('a primary that says it is a replica is replaced by the one that leads', async (t) => {
+  const harness = createHarness()
+  harness.report('a', 0)
+  harness.clock.advance(1000)
+  harness.announce('s', 'primary')
+  harness.announce('p', 'replica')
+  t.match(commandIn(harness.advance(100)), { kind: 'begin-election', term: 2 })
+})
+
+t.test('the first start takes over the primary that runs, without an order', async (t) => {
+  const harness = createHarness({ replicated: { term: 0, primary: null, phase: 'serving' } })
+  const effects = harness.accept(commandIn(harness.advance(100)) as GroupCommand)
+  t.match(commandIn(effects), { kind: 'set-primary', term: 1, database: 'p' })
+  t.same(ordersIn(effects, 'promote'), [])
+})
--- /dev/null
+++ b/test/platform/caller-wire.test.ts
@@ -0,0 +1,177 @@
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import t from 'tap'
+import type { CallerServer } from '../../platform/caller-wire.js'
+import { listenForWireCallers } from '../../platform/caller-wire.js'
+import type { CallerSession } from '../../src/decisions/caller-sessions/caller-session.js'
+import type { SessionInstance } from '../../src/entry/session-instance.js'
+import type { SessionAnswer, SessionStatement } from '../../src/types/session-statement.js'
+import { digestKey } from '../../src/utils/digest-key.js'
+
+type Handle = (id: string, statement: SessionStatement) => Promise<SessionAnswer>
+
+const done: SessionAnswer = { outcome: { kind: 'done', rows: ['a', 'b'], proof: 'p' }, state: 'idle', position: { term: 3, offset: 9 }, ends: false }
+
+interface World {
+  server: CallerServer
+  port: number
+  opened: (string | null)[][]
+  closed: () => number
+}
+
+async function startServer (handle: Handle): Promise<World> {
+  const opened: (string | null)[][] = []
+  let closed = 0
+  let running = 0
+  const session: CallerSession = {
+    handle: async (id, statement) => {
+      running++
+      try {
+        return await handle(id, statement)
+      } finally {
+        running--
+      }
+    },
+    state: () => 'idle',
+    isBusy: () => running > 0,
+    close: () => { closed++ }
+  }
+  const instance = {
+    openSession: async (endpoint: string, key: string | null) => {
+      opened.push([endpoint, key])
+      return endpoint === 'none' ? { result: 'unknownEndpoint', promise: 'rejected', message: 'none', retryAfterMs: null } : session
+    }
+  } as unknown as SessionInstance
+  const port = await freePort()
+  return { server: await listenForWireCallers('127.0.0.1', port, instance), port, opened, closed: () => closed }
+}
+
+async function freePort (): Promise<number> {
+  const { createServer } = await import('node:net')
+  const probe = createServer()
+  await new Promise<void>((resolve) => { probe.listen(0, '127.0.0.1', resolve) })
+  const address = probe.address()
+  await new Promise<void>((resolve) => { probe.close(() => { resolve() }) })
+  return typeof address === 'object' && address !== null ? address.port : 0
+}
+
+interface Client {
+  socket: Socket
+  /** Resolves when the text received so far matches. */
+  until: (pattern: RegExp) => Promise<string>
+  ended: Promise<string>
+}
+
+function call (port: number): Client {
+  const socket = connect({ port, host: '127.0.0.1' })
+  let text = ''
+  let check = (): void => {}
+  socket.on('data', (bytes) => {
+    text += bytes.toString('latin1')
+    check()
+  })
+  socket.on('error', () => {})
+  const ended = new Promise<string>((resolve) => { socket.on('close', () => { resolve(text) }) })
+  return {
+    socket,
+    ended,
+    until: (pattern) => new Promise((resolve) => {
+      check = () => { if (pattern.test(text)) resolve(text) }
+      check()
+    })
+  }
+}
+
+t.test('a session opens with the digest of the key and answers rows, proof and position', async (t) => {
+  const world = await startServer(async () => done)
+  const client = call(world.port)
+  client.socket.write('START shop secret\r\n')
+  await client.until(/READY I -\r\n$/)
+  client.socket.write('QUERY q1 READ x\r\n')
+  t.equal(await client.until(/READY I 3\.9\r\n$/), 'READY I -\r\nROW a\r\nROW b\r\nDONE p\r\nREADY I 3.9\r\n')
+  t.same(world.opened, [['shop', digestKey('secret')]])
+  client.socket.write('CLOSE\r\n')
+  await client.ended
+  world.server.close()
+})
+
+t.test('an endpoint that does not exist is refused and the connection closed', async (t) => {
+  const world = await startServer(async () => done)
+  const client = call(world.port)
+  client.socket.write('START none k\r\n')
+  t.match(await client.ended, /^ERROR NODB /)
+  world.server.close()
+})
+
+t.test('bad input gets a clear refusal', async (t) => {
+  const world = await startServer(async () => done)
+  const noStart = call(world.port)
+  noStart.socket.write('QUERY q1 READ x\r\n')
+  t.match(await noStart.ended, /^ERROR MALFORMED /)
+  const huge = call(world.port)
+  huge.socket.write('START shop k\r\n')
+  await huge.until(/READY/)
+  huge.socket.write('QUERY q1 READ ' + 'x'.repeat(2 * 1024 * 1024))
+  t.match(await huge.until(/ERROR MALFORMED/), /size limit/)
+  const unknown = call(world.port)
+  unknown.socket.write('START shop k\r\n')
+  await unknown.until(/READY/)
+  unknown.socket.write('QUERY q1 DROP x\r\n')
+  t.match(await unknown.until(/ERROR MALFORMED[^\n]*\nREADY/), /READY I -\r\n$/)
+  unknown.socket.destroy()
+  world.server.close()
+})
+
+t.test('messages that come before the answer are taken in order, one at a time', async (t) => {
+  const ids: string[] = []
+  let running = 0
+  const world = await startServer(async (id) => {
+    t.equal(++running, 1)
+    ids.push(id)
+    await new Promise((resolve) => { setImmediate(resolve) })
+    running--
+    return done
+  })
+  const client = call(world.port)
+  client.socket.write('START shop k\r\nQUERY a READ x\r\nQUERY b READ x\r\nQUERY c READ x\r\n')
+  await client.until(/(DONE p[^]*){3}READY I 3\.9\r\n$/)
+  t.same(ids, ['a', 'b', 'c'])
+  client.socket.destroy()
+  await client.ended
+  world.server.close()
+})
+
+t.test('a caller that leaves has its session closed', async (t) => {
+  const world = await startServer(async () => done)
+  const client = call(world.port)
+  client.socket.write('START shop k\r\n')
+  await client.until(/READY/)
+  client.socket.destroy()
+  await client.ended
+  while (world.closed() === 0) await new Promise((resolve) => { setImmediate(resolve) })
+  t.equal(world.closed(), 1)
+  world.server.close()
+})
+
+t.test('while draining, a statement that runs is answered, and nothing runs on a connection that was closed at rest', async (t) => {
+  const started: string[] = []
+  let finish = (): void => {}
+  const world = await startServer(async (id) => {
+    started.push(id)
+    await new Promise<void>((resolve) => { finish = resolve })
+    return done
+  })
+  const [busy, idle] = [call(world.port), call(world.port)]
+  for (const client of [busy, idle]) client.socket.write('START shop k\r\n')
+  await Promise.all([busy.until(/READY/), idle.until(/READY/)])
+  busy.socket.write('QUERY q1 READ x\r\n')
+  while (started.length === 0) await new Promise((resolve) => { setImmediate(resolve) })
+  world.server.drain()
+  idle.socket.write('QUERY q2 READ x\r\n')
+  t.notMatch(await idle.ended, /DONE/)
+  finish()
+  t.match(await busy.ended, /DONE p\r\nREADY I 3\.9\r\n$/)
+  t.same(started, ['q1'])
+  t.equal(world.server.busyCount(), 0)
+  world.server.close()
+})
