--- a/stand-ins/platform/wire-database.ts
+++ b/stand-ins/platform/wire-database.ts
@@ -68,8 +68,8 @@
   const position = (): string => `${database.term}.${database.offset}`
 
   function send (socket: Socket, text: string): void {
-    if (!faults.splitsAnswers) return void socket.write(text)
-    for (const character of text) socket.write(character)
+    const pieces = faults.splitsAnswers ? [...text] : [text]
+    for (const piece of pieces) socket.write(piece)
   }
 
   function serve (socket: Socket): void {
--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -54,7 +54,7 @@
     log: {
       isLeader: () => leading,
       memberAddresses: () => [],
-    provenMsAgo: () => null,
+      provenMsAgo: () => null,
       leaderAddress: () => leading ? null : address('other:1'),
       term: () => 7,
       state: () => state,
