sessions: a database that has too many connections is left alone for 50 ms

Cause: after a refused connection the next one was opened at once, in the own part without any pause.

--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -12,6 +12,8 @@
 const SURPLUS_CLOSE_MS = 4000
 /** After a database refused a connection because it has too many, none above the own part is opened for this long, in milliseconds. */
 const CROWDED_MS = 1000
+/** After such a refusal no connection at all is tried for this long, in milliseconds: time for another instance to close one. */
+const REFUSED_PAUSE_MS = 50
 /** Time to open a connection in milliseconds: many round trips, and the time that a busy database takes. */
 const OPEN_LIMIT_MS = 900
 /** Connections of a database that stay free for the system's own status queries: one for the present leader and one for its successor. */
@@ -47,6 +49,8 @@
   openingCount: number
   waiters: Waiter[]
   crowdedUntil: number
+  /** Nothing is opened before this time. */
+  pausedUntil: number
 }
 
 /**
@@ -94,7 +98,7 @@
     const known = pools.get(database.database)
     if (known !== undefined && known.address === database.address) return known
     if (known !== undefined) drop(known)
-    const pool: DatabaseConnections = { address: database.address, all: new Set(), idle: new Map(), opening: new Map(), openingCount: 0, waiters: [], crowdedUntil: 0 }
+    const pool: DatabaseConnections = { address: database.address, all: new Set(), idle: new Map(), opening: new Map(), openingCount: 0, waiters: [], crowdedUntil: 0, pausedUntil: 0 }
     pools.set(database.database, pool)
     return pool
   }
@@ -131,7 +135,7 @@
     const opened = await options.open({ database: database.database, group: database.group, address: database.address, workspace }, OPEN_LIMIT_MS)
     pool.openingCount--
     pool.opening.set(workspace, (pool.opening.get(workspace) ?? 1) - 1)
-    if (opened.isErr()) return openFailed(database, pool, workspace, opened.error.kind)
+    if (opened.isErr()) return openFailed(database, pool, opened.error.kind)
     health.connectionOpened(database.database)
     const pooled: PooledSession = { session: opened.value, database: database.database, workspace, values: null, prepared: new Map(), preparedCount: 0, isFresh: true, ended: false }
     pool.all.add(pooled)
@@ -144,15 +148,27 @@
     release(pooled)
   }
 
-  function openFailed (database: DirectoryDatabase, pool: DatabaseConnections, workspace: WorkspaceId, kind: string): void {
-    if (kind === 'too-many-connections') pool.crowdedUntil = clock.now() + CROWDED_MS
-    else if (kind !== 'busy') health.connectionFailed(database.database)
-    const isCrowded = kind === 'too-many-connections' || kind === 'busy'
-    if (isCrowded && (pool.all.size > 0 || pool.openingCount > 0)) return serveWaiters(database, pool)
-    // Nothing else is under way that could serve those who wait.
-    const refused = pool.waiters.filter((waiter) => isCrowded ? waiter.workspace === workspace : true)
-    pool.waiters = pool.waiters.filter((waiter) => !refused.includes(waiter))
-    for (const waiter of refused) waiter.resolve(err(isCrowded ? 'no-connection' : 'unreachable'))
+  function openFailed (database: DirectoryDatabase, pool: DatabaseConnections, kind: string): void {
+    if (kind === 'too-many-connections' || kind === 'busy') {
+      if (kind === 'too-many-connections') pool.crowdedUntil = clock.now() + CROWDED_MS
+      return pause(database, pool)
+    }
+    health.connectionFailed(database.database)
+    // Nothing is under way that could serve those who wait.
+    for (const waiter of pool.waiters.splice(0)) waiter.resolve(err('unreachable'))
+  }
+
+  /** A refused connection costs the database and the network as much as a taken one. */
+  function pause (database: DirectoryDatabase, pool: DatabaseConnections): void {
+    const isPaused = clock.now() < pool.pausedUntil
+    pool.pausedUntil = clock.now() + REFUSED_PAUSE_MS
+    if (!isPaused) after(REFUSED_PAUSE_MS, () => { resume(database, pool) })
+  }
+
+  function resume (database: DirectoryDatabase, pool: DatabaseConnections): void {
+    const leftMs = pool.pausedUntil - clock.now()
+    if (leftMs > 0) after(leftMs, () => { resume(database, pool) })
+    else serveWaiters(database, pool)
   }
 
   function serveWaiters (database: DirectoryDatabase, pool: DatabaseConnections): void {
@@ -167,6 +183,7 @@
   }
 
   function openForWaiters (database: DirectoryDatabase, pool: DatabaseConnections): void {
+    if (clock.now() < pool.pausedUntil) return
     const wanted = new Map<WorkspaceId, number>()
     for (const { workspace } of pool.waiters) wanted.set(workspace, (wanted.get(workspace) ?? 0) + 1)
     for (const [workspace, count] of wanted) {
