--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -5,35 +5,27 @@
 } from '../blackboard/control-instance-entries.js'
 import { createDatabaseWeights } from '../decisions/failure-domains/database-weights.js'
 import { createFailover } from '../decisions/failover/failover.js'
-import type { Failover } from '../decisions/failover/failover.js'
 import type { FailoverMessage } from '../decisions/failover/failover-message.js'
-import type { FailoverOptions } from '../decisions/failover/failover-options.js'
 import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
 import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
 import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
 import { createHolderAssignment } from '../decisions/membership/holder-assignment.js'
 import { createInstanceRegistry } from '../decisions/membership/instance-registry.js'
-import type { Clock } from '../types/clock.js'
-import type { ControlLog } from '../types/control-log.js'
-import type { ControlToEntry, EntryToControl, Heartbeat } from '../types/control-message.js'
+import type { EntryToControl, Heartbeat } from '../types/control-message.js'
 import type { ControlSummary } from '../types/control-summary.js'
-import type { DatabaseOrders } from '../types/database-connection.js'
 import type { Announcement } from '../types/database-status.js'
 import type { GroupId } from '../types/ids.js'
-import type { LogEvent } from '../types/log-event.js'
-import type { ShareAllocator } from '../types/share-allocator.js'
+import type { CoordinatorOptions } from './coordinator-options.js'
 import { summarize } from './coordinator-summary.js'
 import type { DatabaseAnnouncements } from './database-announcements.js'
 import { createDatabaseAnnouncements } from './database-announcements.js'
 import { createEntryConnections } from './entry-connections.js'
 import type { ConnectionName, EntryConnection, PublishedState } from './entry-connections.js'
 import { createFailoverEffects, giveToDatabases } from './failover-effects.js'
-import type { GiveOrder } from './failover-effects.js'
 import { createLeadership } from './leadership.js'
 import { logFailureDomains } from './log-failure-domains.js'
 import { createRecordedInstances } from './recorded-instances.js'
 import { createLostInstances } from './lost-instances.js'
-import type { RateTolerance } from './share-resources.js'
 import { shareResources } from './share-resources.js'
 
 /**
@@ -44,36 +36,6 @@
 /** Time in which a new leader builds the directory at each tick, in ms: the longest wait before its first directory, and one tick. */
 const NEW_LEADER_MS = 1600
 
-export interface CoordinatorOptions {
-  clock: Clock
-  log: ControlLog
-  allocator: ShareAllocator
-  /** Calls of the databases, or another way to carry out orders. */
-  orders: DatabaseOrders | GiveOrder
-  send: (connection: ConnectionName, message: ControlToEntry) => void
-  logEvent: LogEvent
-  /** Times of the failover that differ from their defaults. */
-  failover?: Omit<FailoverOptions, 'blackboard' | 'clock'>
-  /** Creates the controller that changes primaries. Default: the failover that fences databases itself. */
-  createFailover?: (options: FailoverOptions) => Failover
-  /**
-   * - `placed`: a few instances hold the connections of each group, and share out its slots and connections
-   * - `every-instance`: each instance connects to the databases itself
-   * Default: `placed`.
-   */
-  holders?: 'placed' | 'every-instance'
-  /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
-  instanceLostMs?: number
-  /** Whether instances are recorded in the control log before they get shares. Default false. */
-  recordInstances?: boolean
-  /** Excess over rates and bursts that is shared out, too, so that small rates can be divided. Default: none. */
-  rateTolerance?: RateTolerance
-  /** Age up to which a proof of leadership serves further heartbeats, in ms; an older one is renewed first. Default: each heartbeat gets its own. */
-  maxProofAgeMs?: number
-  /** Whether the directory lists the control members, for instances whose settings may be out of date. Default false. */
-  publishMembers?: boolean
-}
-
 /** A heartbeat that waits for its round. The connection may have a later one by then, which the round does not cover. */
 interface PendingAnswer {
   connection: EntryConnection
