sessions: reads go to replicas before an idle connection of the primary

Two tests of reads failed after opening a connection had become dearer than the primary's penalty: reads stayed on the primary while its connection was idle.

--- a/src/decisions/caller-sessions/choose-database.ts
+++ b/src/decisions/caller-sessions/choose-database.ts
@@ -9,7 +9,7 @@
 /** Cost of a choice in milliseconds of expected delay. */
 const OTHER_DOMAIN_MS = 25
 /** Spares the primary, which alone can run writes. */
-const PRIMARY_MS = 12
+const PRIMARY_MS = 50
 /** Opening a connection takes a few round trips and a slot. */
 const OPEN_CONNECTION_MS = 45
 /** All connections are in use. */
