--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -22,24 +22,26 @@
 async function startServer (handle: Handle): Promise<World> {
   const opened: (string | null)[][] = []
   let closed = 0
-  let running = 0
-  const session: CallerSession = {
-    handle: async (id, statement) => {
-      running++
-      try {
-        return await handle(id, statement)
-      } finally {
-        running--
-      }
-    },
-    state: () => 'idle',
-    isBusy: () => running > 0,
-    close: () => { closed++ }
+  const createSession = (): CallerSession => {
+    let running = 0
+    return {
+      handle: async (id, statement) => {
+        running++
+        try {
+          return await handle(id, statement)
+        } finally {
+          running--
+        }
+      },
+      state: () => 'idle',
+      isBusy: () => running > 0,
+      close: () => { closed++ }
+    }
   }
   const instance = {
     openSession: async (endpoint: string, key: string | null) => {
       opened.push([endpoint, key])
-      return endpoint === 'none' ? { result: 'unknownEndpoint', promise: 'rejected', message: 'none', retryAfterMs: null } : session
+      return endpoint === 'none' ? { result: 'unknownEndpoint', promise: 'rejected', message: 'none', retryAfterMs: null } : createSession()
     }
   } as unknown as SessionInstance
   const port = await freePort()
