promotion: fence the replicas before positions are compared where commits wait for replicas

Cause: positions of replicas were read while they still received, so a commit under way at the old primary could be acknowledged afterwards and be missing at the promoted one. A planned change whose target did not catch up promoted the target all the same. Ruled out: a longer wait before the query (does not bound the commit); fencing the old primary only (it may not be reachable). Change: with acknowledgingReplicas > 0 an election orders a fence above the newest term to each replica, and compares positions of fenced ones only; fences are lifted afterwards, also by a new leader.

--- a/src/control/failover-effects.ts
+++ b/src/control/failover-effects.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow'
+import { err } from 'neverthrow'
 import type { FailoverEffect, FailoverMessage, GroupCommand, SentOrder } from '../decisions/failover/failover-message.js'
 import type { ControlLog } from '../types/control-log.js'
 import type { DatabaseFailure, DatabaseOrders } from '../types/database-connection.js'
@@ -55,6 +56,7 @@
     case 'status': return orders.status(address)
     case 'fence': return orders.fence(address, action.term)
     case 'promote': return orders.promote(address, action.term)
+    case 'unfence': return Promise.resolve(err({ sqlState: null, message: 'a fence of these databases ends with a promotion' }))
     case 'follow': return orders.follow(address, action.term, action.primaryAddress)
   }
 }
--- a/src/decisions/failover/failover-message.ts
+++ b/src/decisions/failover/failover-message.ts
@@ -11,7 +11,10 @@
 /** What a database is asked to do. */
 export type DatabaseAction =
   | { kind: 'status' }
+  /** The database takes nothing more of a primary of a lower term. */
   | { kind: 'fence', term: number }
+  /** The database takes again what its primary sends. */
+  | { kind: 'unfence' }
   | { kind: 'promote', term: number }
   | { kind: 'follow', term: number, primaryAddress: Address }
 
--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -3,26 +3,15 @@
 import { holdsDirectory } from '../../types/directory-version.js'
 import type { DatabaseId } from '../../types/ids.js'
 import { compareLogPositions, isAtOrPast } from '../../types/log-position.js'
-import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
 import { memberOf } from '../failover/group-view.js'
-import type { GroupMember, GroupView } from '../failover/group-view.js'
+import type { GroupMember } from '../failover/group-view.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
 import { judgePrimary } from './primary-evidence.js'
-import type { PromotionTimes } from './promotion-options.js'
-import type { KnownStatus, PromotionPlan, PromotionRecord, PromotionStep, StopOrder } from './promotion-step.js'
-
-/** One group at one moment, with the effects that are collected for it. */
-export interface PromotionContext {
-  view: GroupView
-  record: PromotionRecord
-  times: PromotionTimes
-  /** Whether the databases of the group acknowledge a commit only after a replica has received it. */
-  waitsForReplicas: boolean
-  effects: FailoverEffect[]
-}
-
-type Step<Kind extends PromotionStep['kind']> = Extract<PromotionStep, { kind: Kind }>
+import type { PromotionContext, Step } from './promotion-context.js'
+import { isLostPrimary, order } from './promotion-context.js'
+import type { KnownStatus, PromotionPlan, PromotionRecord, StopOrder } from './promotion-step.js'
+import { fence, fenceTermOf, liftFences, mustFence, needsFences } from './replica-fences.js'
 
 /** Takes the next steps of a group, as far as its state allows. */
 export function advanceGroup (context: PromotionContext): void {
@@ -70,6 +59,7 @@
   if (replicated.phase === 'electing') return beginElection(context, planOf(context, 'interrupted'))
   if (replicated.primary === null) return startGroup(context)
   if (record.serving === null || view.members.length === 0) return
+  liftFences(context)
   const primary = memberOf(view, replicated.primary)
   const isKnownLongEnough = view.now - Math.max(record.serving.since, view.leadership.since) >= times.primarySilentMs
   if (primary === undefined) {
@@ -145,7 +135,8 @@
   const plan: PromotionPlan = { cause: 'planned', oldTerm: step.term, oldPrimary: step.primary, preferred: step.target, startedAt: step.startedAt }
   const caughtUp = step.releasedAt === null ? undefined : caughtUpTarget(context, step, step.releasedAt)
   if (caughtUp !== undefined) return beginElection(context, { ...plan, preferred: caughtUp })
-  if (isOverdue) return beginElection(context, plan)
+  // A target that lacks a commit which waited for replicas must not lead.
+  if (isOverdue) return beginElection(context, context.waitsForReplicas ? { ...plan, preferred: null } : plan)
   if (view.now - step.queriedAt < times.positionQueryMs) return
   step.queriedAt = view.now
   for (const member of view.members) {
@@ -189,7 +180,7 @@
 /** The term is committed and belongs to this leader. */
 export function electionBegan (context: PromotionContext, term: number, plan: PromotionPlan): void {
   const { view, record } = context
-  record.step = { kind: 'electing', term, plan, stop: null, releasedAt: null, queriedAt: longAgo(view.now), answeredAt: null }
+  record.step = { kind: 'electing', term, plan, stop: null, releasedAt: null, queriedAt: longAgo(view.now), answeredAt: null, fencesOrdered: false }
   if (plan.cause !== 'planned') context.effects.push({ kind: 'log', name: 'failoverBegan', details: { group: view.group, term, cause: plan.cause, oldPrimary: plan.oldPrimary } })
 }
 
@@ -213,13 +204,16 @@
   }
   if (view.now - step.queriedAt < times.orderRetryMs) return
   step.queriedAt = view.now
-  for (const member of view.members) order(context, member, { kind: 'status' })
+  const fenceTerm = fenceTermOf(context, step, releasedAt)
+  for (const member of view.members) {
+    if (fenceTerm === null || !mustFence(context, member, fenceTerm)) order(context, member, { kind: 'status' })
+    else fence(context, member, fenceTerm)
+  }
 }
 
 function electionTarget (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
   const { view, record, times, waitsForReplicas } = context
-  const isOld = (member: GroupMember): boolean => step.plan.cause === 'lost' && member.database === step.plan.oldPrimary
-  const asked = view.members.filter((member) => !isOld(member))
+  const asked = view.members.filter((member) => !isLostPrimary(step, member))
   const candidates = asked.flatMap((member): Candidate[] => {
     const known = record.statuses.get(member.database)
     return known !== undefined && known.askedAt >= releasedAt ? [{ member, known }] : []
@@ -230,6 +224,7 @@
   // Only the replica that is missing may hold the last acknowledged commit.
   if (!isComplete && waitsForReplicas && step.plan.oldTerm > 0) return undefined
   if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
+  if (needsFences(context, step, candidates, releasedAt)) return undefined
   return chooseCandidate(candidates, step.plan, waitsForReplicas)
 }
 
@@ -281,10 +276,6 @@
   context.effects.push({ kind: 'log', name: planned ? 'switchoverEnded' : 'failoverEnded', details })
 }
 
-function order ({ view, effects }: PromotionContext, member: GroupMember, action: DatabaseAction): void {
-  effects.push({ kind: 'order', order: { group: view.group, database: member.database, address: member.address, leaderTerm: view.leadership.term, sentAt: view.now, action } })
-}
-
 /** Keeps the newest status of a database. */
 export function noteStatus (record: PromotionRecord, database: DatabaseId, known: KnownStatus): void {
   const last = record.statuses.get(database)
--- a/src/decisions/promotion/choose-candidate.ts
+++ b/src/decisions/promotion/choose-candidate.ts
@@ -18,7 +18,8 @@
  * @param waitsForReplicas - whether the databases acknowledge a commit only after a replica has received it
  */
 export function chooseCandidate (candidates: readonly Candidate[], plan: PromotionPlan, waitsForReplicas: boolean): DatabaseId | undefined {
-  const usable = candidates.filter(({ member }) => plan.cause !== 'lost' || member.database !== plan.oldPrimary)
+  const isReplaced = plan.cause === 'lost' || plan.cause === 'planned'
+  const usable = candidates.filter(({ member }) => !isReplaced || member.database !== plan.oldPrimary)
   const running = usable.find(({ member, known }) => known.status.role === 'primary' && member.weight > 0)
   // A promotion of an earlier leader has been carried out; a further change would only cost another gap.
   if (running !== undefined && plan.cause !== 'planned') return running.member.database
--- /dev/null
+++ b/src/decisions/promotion/promotion-context.ts
@@ -0,0 +1,26 @@
+import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
+import type { GroupMember, GroupView } from '../failover/group-view.js'
+import type { PromotionTimes } from './promotion-options.js'
+import type { PromotionRecord, PromotionStep } from './promotion-step.js'
+
+/** One group at one moment, with the effects that are collected for it. */
+export interface PromotionContext {
+  view: GroupView
+  record: PromotionRecord
+  times: PromotionTimes
+  /** Whether the databases of the group acknowledge a commit only after a replica has received it. */
+  waitsForReplicas: boolean
+  effects: FailoverEffect[]
+}
+
+export type Step<Kind extends PromotionStep['kind']> = Extract<PromotionStep, { kind: Kind }>
+
+/** Gives an order to one database. */
+export function order ({ view, effects }: PromotionContext, member: GroupMember, action: DatabaseAction): void {
+  effects.push({ kind: 'order', order: { group: view.group, database: member.database, address: member.address, leaderTerm: view.leadership.term, sentAt: view.now, action } })
+}
+
+/** @returns whether the database is the primary whose loss caused the election */
+export function isLostPrimary ({ plan }: Step<'electing'>, { database }: GroupMember): boolean {
+  return plan.cause === 'lost' && database === plan.oldPrimary
+}
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -41,7 +41,7 @@
   /** `begin-election` was proposed. */
   | { kind: 'beginning', term: number, plan: PromotionPlan }
   /** The term is committed and belongs to this leader; no instance uses a primary once all have released the old one. */
-  | { kind: 'electing', term: number, plan: PromotionPlan, stop: StopOrder | null, releasedAt: Milliseconds | null, queriedAt: Milliseconds, answeredAt: Milliseconds | null }
+  | { kind: 'electing', term: number, plan: PromotionPlan, stop: StopOrder | null, releasedAt: Milliseconds | null, queriedAt: Milliseconds, answeredAt: Milliseconds | null, fencesOrdered: boolean }
   /** The authority is asked for one database only within a term. */
   | { kind: 'promoting', term: number, plan: PromotionPlan, target: DatabaseId, startedAt: Milliseconds, orderedAt: Milliseconds | null, accepted: boolean, refused: boolean, queriedAt: Milliseconds }
   /** The database is primary; `set-primary` is proposed until the log says so. */
@@ -61,4 +61,6 @@
   switchoversFrom: Milliseconds
   knownSince: Milliseconds | null
   probedAt: Milliseconds
+  /** Databases that may be fenced from an election that is over, and when they were last told that it is. */
+  fenced: Map<DatabaseId, Milliseconds>
 }
--- a/src/decisions/promotion/promotion.ts
+++ b/src/decisions/promotion/promotion.ts
@@ -10,7 +10,7 @@
 import type { GroupView } from '../failover/group-view.js'
 import { createGroupViews } from '../failover/group-views.js'
 import { advanceGroup, electionBegan, noteStatus } from './advance-group.js'
-import type { PromotionContext } from './advance-group.js'
+import type { PromotionContext } from './promotion-context.js'
 import type { PromotionOptions } from './promotion-options.js'
 import { resolvePromotionTimes } from './promotion-options.js'
 import type { PromotionRecord } from './promotion-step.js'
@@ -64,8 +64,11 @@
       electionsFrom: never,
       switchoversFrom: never,
       knownSince: null,
-      probedAt: never
+      probedAt: never,
+      fenced: new Map()
     }
+    // An earlier leader may have ended before it lifted the fences of its last election.
+    if (waitsForReplicas(group)) for (const { database } of view.members) if (database !== replicated.primary) record.fenced.set(database, never)
     records.set(group, record)
     return record
   }
@@ -73,8 +76,11 @@
   function contextOf (group: GroupId, effects: FailoverEffect[]): PromotionContext | undefined {
     const view = views.of(group)
     if (view === undefined || published.read() === null) return undefined
-    const waitsForReplicas = (state.read().manifest?.groups.find(({ id }) => id === group)?.acknowledgingReplicas ?? 0) > 0
-    return { view, record: recordOf(group, view), times, waitsForReplicas, effects }
+    return { view, record: recordOf(group, view), times, waitsForReplicas: waitsForReplicas(group), effects }
+  }
+
+  function waitsForReplicas (group: GroupId): boolean {
+    return (state.read().manifest?.groups.find(({ id }) => id === group)?.acknowledgingReplicas ?? 0) > 0
   }
 
   function advance (groups: Iterable<GroupId>, effects: FailoverEffect[]): FailoverEffect[] {
@@ -137,7 +143,8 @@
     switch (message.kind) {
       case 'order-answered': return orderEnded(message.order, ({ record }) => {
         const { action, database, sentAt } = message.order
-        if (action.kind === 'status') noteStatus(record, database, { status: message.status, askedAt: sentAt as Milliseconds })
+        if (action.kind === 'status' || action.kind === 'fence') noteStatus(record, database, { status: message.status, askedAt: sentAt as Milliseconds })
+        if (action.kind === 'unfence') record.fenced.delete(database)
         const { step } = record
         if (action.kind === 'promote' && step.kind === 'promoting' && step.term === action.term && step.target === database) step.accepted = true
       })
--- a/src/types/database-session.ts
+++ b/src/types/database-session.ts
@@ -5,7 +5,7 @@
 import type { SessionState, SessionStatement } from './session-statement.js'
 
 /** Commands of the system itself, beside the statements of callers. */
-export type SystemStatement = { kind: 'reset' } | { kind: 'status' }
+export type SystemStatement = { kind: 'reset' } | { kind: 'status' } | { kind: 'fence', term: number } | { kind: 'unfence' }
 
 export interface DatabaseRequest {
   /** Id that the caller gave; null for statements of the system. */
--- a/stand-ins/platform/wire-database.ts
+++ b/stand-ins/platform/wire-database.ts
@@ -29,6 +29,8 @@
   role: 'primary' | 'replica'
   term: number
   offset: number
+  /** Term up to which the database was told to receive nothing; 0 while it receives. */
+  heldTerm: number
   connectionCount: () => number
   close: () => Promise<void>
 }
@@ -58,6 +60,7 @@
     role,
     term: 3,
     offset: 100,
+    heldTerm: 0,
     connectionCount: () => sockets.size,
     close: async () => {
       for (const socket of sockets) socket.destroy()
@@ -120,7 +123,9 @@
     if (refusal !== undefined) return fail(session, refusal)
     const lacks = match !== null && (Number(match[1]) > database.term || (Number(match[1]) === database.term && Number(match[2]) > database.offset))
     if (lacks) return fail(session, 'LAGGING')
-    if (verb === 'STATUS') return `ROW ${database.role} ${database.term} ${position()} 0 12 0 1\r\nDONE -`
+    if (verb === 'PAUSE' && database.role === 'replica' && Number(name) > database.term) database.heldTerm = Number(name)
+    if (verb === 'RESUME') database.heldTerm = 0
+    if (verb === 'STATUS' || verb === 'PAUSE' || verb === 'RESUME') return `ROW ${database.role} ${database.term} ${position()} ${database.heldTerm} 12 0 1\r\nDONE -`
     if (verb === 'SET') session.values.set(name, rest.join(' '))
     if (verb === 'PREPARE') session.prepared.set(name, rest.join(' '))
     if (verb === 'RESET') {
--- a/test/decisions/promotion/promotion.test.ts
+++ b/test/decisions/promotion/promotion.test.ts
@@ -88,7 +88,8 @@
   }
 
   function answerStatus (order: SentOrder, offset: number, role: 'primary' | 'replica' = 'replica'): FailoverEffect[] {
-    const status = { ...announcedStatus(order.database, 1, role), term: 1, position: { term: 1, offset } }
+    const fencedTerm = order.action.kind === 'fence' ? order.action.term : 0
+    const status = { ...announcedStatus(order.database, 1, role), term: 1, fencedTerm, position: { term: 1, offset } }
     return promotion.handle({ kind: 'order-answered', order, status })
   }
 
@@ -227,3 +228,62 @@
   t.match(commandIn(effects), { kind: 'set-primary', term: 1, database: 'p' })
   t.same(ordersIn(effects, 'promote'), [])
 })
+
+/** Answers every order of a kind with the given offsets. */
+function answerAll (harness: ReturnType<typeof createHarness>, orders: readonly SentOrder[], offsets: Record<string, number>): FailoverEffect[] {
+  return orders.flatMap((order) => offsets[order.database] === undefined ? [] : harness.answerStatus(order, offsets[order.database] ?? 0))
+}
+
+t.test('where commits wait for replicas, no replica receives any more before positions are compared', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  const effects = lose(harness, { r: 8, s: 9 })
+  t.same(ordersIn(effects, 'promote'), [], 'r may receive and acknowledge a commit after it told its position')
+  const stops = ordersIn(effects, 'fence')
+  t.match(stops.map(({ database, action }) => ({ database, action })), [{ database: 'r', action: { term: 2 } }, { database: 's', action: { term: 2 } }])
+  t.same(ordersIn(answerAll(harness, stops, { r: 10 }), 'promote'), [], 's has not stopped')
+  t.match(ordersIn(answerAll(harness, stops, { s: 9 }), 'promote'), [{ database: 'r' }])
+})
+
+t.test('a fence that is not answered is repeated', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  const stops = ordersIn(lose(harness, { r: 8, s: 9 }), 'fence')
+  answerAll(harness, stops, { r: 10 })
+  t.match(ordersIn(harness.advance(600), 'fence').map(({ database }) => database), ['s'])
+})
+
+t.test('after the change, the replicas receive again; an order that is not answered is repeated', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  const stops = ordersIn(lose(harness, { r: 8, s: 9 }), 'fence')
+  const [order] = ordersIn(answerAll(harness, stops, { r: 10, s: 9 }), 'promote')
+  harness.promotion.handle({ kind: 'order-answered', order: order as SentOrder, status: announcedStatus(databaseId('r'), 0, 'replica') })
+  harness.clock.advance(600)
+  const again = ordersIn(harness.accept(commandIn(harness.announce('r', 'primary')) as GroupCommand), 'unfence')
+  t.match(again.map(({ database }) => database), ['s'])
+  const repeated = ordersIn(harness.advance(600), 'unfence')
+  t.match(repeated.map(({ database }) => database), ['s'])
+  harness.answerStatus(repeated[0] as SentOrder, 10)
+  t.same(ordersIn(harness.advance(600), 'unfence'), [])
+})
+
+t.test('a new leader lets replicas receive again that its predecessor may have stopped', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  harness.lead(2)
+  harness.advance(200)
+  t.match(ordersIn(harness.advance(600), 'unfence').map(({ database }) => database).sort(), ['r', 's'])
+})
+
+t.test('where commits wait for replicas, a planned change whose target does not catch up promotes the replica that holds most', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  harness.clock.advance(5000)
+  for (const name of ['p', 'r', 's']) harness.announce(name, name === 'p' ? 'primary' : 'replica')
+  harness.report('a', 0)
+  harness.setWeight('p', 0)
+  harness.advance(100)
+  harness.publish('switching')
+  harness.accept(commandIn(harness.advance(3200)) as GroupCommand)
+  const asked = ordersIn(harness.report('a', 2), 'status')
+  harness.answerStatus(orderOf(asked, 'p'), 10, 'primary')
+  const effects = answerAll(harness, asked.filter(({ database }) => database !== 'p'), { r: 8, s: 9 })
+  t.same(ordersIn(effects, 'promote'), [])
+  t.match(ordersIn(answerAll(harness, ordersIn(effects, 'fence'), { r: 8, s: 9 }), 'promote'), [{ database: 's' }])
+})
--- /dev/null
+++ b/test/platform/promotion-orders.test.ts
@@ -0,0 +1,17 @@
+import t from 'tap'
+import { openWireSession, readWireStatus } from '../../platform/database-wire.js'
+import { createPromotionOrders } from '../../platform/promotion-orders.js'
+import type { DatabaseAction, SentOrder } from '../../src/decisions/failover/failover-message.js'
+import { address, databaseId, groupId, instanceId } from '../../src/types/ids.js'
+import { startWireDatabase } from '../../stand-ins/platform/wire-database.js'
+
+t.test('a replica is fenced, tells so in its status, and receives again afterwards', async (t) => {
+  const replica = await startWireDatabase('g', 'r', 'replica')
+  t.teardown(replica.close)
+  const give = createPromotionOrders({ instance: instanceId('control-1'), authority: '127.0.0.1:1', open: openWireSession, readStatus: readWireStatus })
+  const order = (action: DatabaseAction): SentOrder => ({ group: groupId('g'), database: databaseId('r'), address: address(replica.address), leaderTerm: 1, sentAt: 0, action })
+  t.match(await give(order({ kind: 'fence', term: 4 })), { value: { role: 'replica', term: 3, fencedTerm: 4, position: { term: 3, offset: 100 } } })
+  t.match(await give(order({ kind: 'status' })), { value: { fencedTerm: 4 } })
+  t.match(await give(order({ kind: 'unfence' })), { value: { fencedTerm: 0 } })
+  t.match(await give(order({ kind: 'follow', term: 4, primaryAddress: address('127.0.0.1:1') })), { error: { message: 'the platform knows no order follow' } })
+})
