--- a/src/adapters/metrics/create-metrics.ts
+++ b/src/adapters/metrics/create-metrics.ts
@@ -31,6 +31,7 @@
   active_requests: 'Requests and transactions that this instance executes as holder',
   database_connections: 'Open connections to databases for sessions of callers',
   idle_database_connections: 'Connections to databases that no session uses',
+  lent_connections: 'Connections to databases that other instances have borrowed',
   waiting_for_connection: 'Operations that wait for a connection to a database',
   leads: '1 while this member leads the control log',
   peer_channels: 'Open channels to other instances'
--- a/src/adapters/ws/dial-channel.ts
+++ b/src/adapters/ws/dial-channel.ts
@@ -3,7 +3,7 @@
 import { err, ok } from 'neverthrow'
 import { offerHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
-import type { Hello, MessageChannel } from './message-channel.js'
+import type { ChannelPings, Hello, MessageChannel } from './message-channel.js'
 import { createMessageChannel } from './message-channel.js'
 import type { TlsFiles } from './tls-files.js'
 import { readTlsFiles } from './tls-files.js'
@@ -17,6 +17,8 @@
   hello: Hello
   clusterSecret: string
   tls: TlsFiles | null
+  /** Default: `always`. */
+  pings?: ChannelPings
 }
 
 /** Connects to another of our processes and authenticates both ways. */
@@ -37,5 +39,5 @@
     socket.terminate()
     return err(error as Error)
   }
-  return ok(createMessageChannel(socket, inbox, hello))
+  return ok(createMessageChannel(socket, inbox, hello, options.pings))
 }
--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -4,12 +4,19 @@
 
 /** Time between pings in milliseconds. */
 const PING_INTERVAL_MS = 250
-/** A peer that answered nothing for this long is taken to be unreachable, in milliseconds. */
-const SILENCE_LIMIT_MS = 1000
+/** Time between pings while an answer is awaited, in milliseconds: a request behind it can be sent elsewhere only once the peer is given up. */
+const WAITING_PING_INTERVAL_MS = 100
+/** A peer that let this many pings in a row pass without a sign of life is taken to be unreachable. Counting pings and not time spares a process that stood still itself. */
+const MAX_MISSED_PINGS = 4
 
 /** Codec of all messages between our processes. */
 export const messageCodec = new Packr({ useRecords: false, useFloat32: FLOAT32_OPTIONS.DECIMAL_FIT, int64AsType: 'number' })
 
+/** Encodes a message that goes over several channels. */
+export function packMessage (message: unknown): Buffer {
+  return messageCodec.pack(message)
+}
+
 /** What a process tells of itself when it connects. */
 export interface Hello {
   /** What the connection is for: consensus, control messages, or requests between entry instances. */
@@ -20,11 +27,22 @@
   address: string
 }
 
+/**
+ * When a channel asks its peer for signs of life.
+ * - `always`: all the time
+ * - `while-waiting`: while its owner waits for something; a channel at rest costs nothing
+ */
+export type ChannelPings = 'always' | 'while-waiting'
+
 /** An authenticated connection that carries whole messages in order. */
 export interface MessageChannel {
   readonly hello: Hello
   /** Sends a message; it is dropped when the channel has ended. */
   send: (message: unknown) => void
+  /** Sends a message that `packMessage` has encoded. */
+  sendPacked: (data: Buffer) => void
+  /** Tells whether something is awaited from the peer; matters only with pings `while-waiting`. */
+  setWaiting: (isWaiting: boolean) => void
   /** Ends the channel at once. */
   close: () => void
   /** Sets the only listener; messages that came earlier are delivered at once. */
@@ -39,35 +57,44 @@
  * Wraps an authenticated socket. Pings the peer and ends the socket when nothing comes back,
  * since a connection can go silent for good without being closed.
  */
-export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello): MessageChannel {
+export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, when: ChannelPings = 'always'): MessageChannel {
   const endListeners: (() => void)[] = []
   let ended = false
-  let lastHeardAt = performance.now()
+  let missedPings = 0
   let sent = 0
   let received = 0
 
-  const pings = setInterval(() => {
-    if (performance.now() - lastHeardAt > SILENCE_LIMIT_MS) {
-      end()
-      return
-    }
-    socket.ping()
-  }, PING_INTERVAL_MS)
+  let pings = when === 'always' ? startPings(PING_INTERVAL_MS) : null
+
+  function startPings (intervalMs: number): NodeJS.Timeout {
+    return setInterval(() => {
+      if (missedPings >= MAX_MISSED_PINGS) return end()
+      missedPings++
+      socket.ping()
+    }, intervalMs)
+  }
+
+  function setWaiting (isWaiting: boolean): void {
+    if (when === 'always' || ended || isWaiting === (pings !== null)) return
+    if (pings !== null) clearInterval(pings)
+    missedPings = 0
+    pings = isWaiting ? startPings(WAITING_PING_INTERVAL_MS) : null
+  }
 
   function end (): void {
     if (ended) return
     ended = true
-    clearInterval(pings)
+    if (pings !== null) clearInterval(pings)
     socket.terminate()
     for (const listener of endListeners) listener()
   }
 
-  socket.on('pong', () => { lastHeardAt = performance.now() })
+  socket.on('pong', () => { missedPings = 0 })
   socket.on('close', end)
   socket.on('error', end)
   function receive (data: Buffer, listener: (message: unknown) => void): void {
     if (ended) return
-    lastHeardAt = performance.now()
+    missedPings = 0
     received += data.length
     let message: unknown
     try {
@@ -79,14 +106,19 @@
     listener(message)
   }
 
+  function sendPacked (data: Buffer): void {
+    if (ended) return
+    sent += data.length
+    socket.send(data)
+  }
+
   return {
     hello,
     send: (message) => {
-      if (ended) return
-      const data = messageCodec.pack(message)
-      sent += data.length
-      socket.send(data)
+      if (!ended) sendPacked(messageCodec.pack(message))
     },
+    sendPacked,
+    setWaiting,
     close: end,
     onMessage: (listener) => { inbox.deliverTo((data) => { receive(data, listener) }) },
     onEnd: (listener) => {
--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -6,7 +6,7 @@
 import type { WebSocket } from 'ws'
 import { acceptHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
-import type { MessageChannel } from './message-channel.js'
+import type { ChannelPings, MessageChannel } from './message-channel.js'
 import { createMessageChannel } from './message-channel.js'
 import type { TlsFiles } from './tls-files.js'
 import { readTlsFiles } from './tls-files.js'
@@ -19,6 +19,8 @@
   port: number
   clusterSecret: string
   tls: TlsFiles | null
+  /** Default: `always`. */
+  pings?: ChannelPings
   /** Called for each connection that passed the handshake. */
   onChannel: (channel: MessageChannel) => void
 }
@@ -47,7 +49,7 @@
     const inbox = createInbox(socket)
     try {
       const hello = await acceptHandshake(socket, inbox, options.clusterSecret)
-      options.onChannel(createMessageChannel(socket, inbox, hello))
+      options.onChannel(createMessageChannel(socket, inbox, hello, options.pings))
     } catch {
       socket.terminate()
     }
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -1,6 +1,7 @@
 import VError from 'verror'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { MessageChannel } from '../adapters/ws/message-channel.js'
+import { packMessage } from '../adapters/ws/message-channel.js'
 import type { MessageServer } from '../adapters/ws/message-server.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
 import type { TlsFiles } from '../adapters/ws/tls-files.js'
@@ -42,7 +43,7 @@
   timeOfDay: () => Date
   onFailure: (failure: StorageFailure) => void
   /** What the coordinator needs besides the log and the connections. */
-  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailover' | 'holders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxProofAgeMs'>>
+  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailover' | 'holders' | 'rateHolders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxProofAgeMs'>>
   /** Differences of the replicated log from its defaults. */
   log?: Pick<ControlLogOptions, 'consensus' | 'snapshotThreshold'>
 }
@@ -85,6 +86,15 @@
   if (startedLog.isErr()) throw new VError({ name: 'StorageFailure', info: { code: startedLog.error.code } }, `${startedLog.error.code}: ${startedLog.error.message}`)
   const log = startedLog.value
   const channels = new Map<string, AttachedEntry>()
+  const packed = new WeakMap<object, Buffer>()
+
+  /** Directories and manifests go to every instance. */
+  function packedOf (message: object): Buffer {
+    const known = packed.get(message) ?? packMessage(message)
+    packed.set(message, known)
+    return known
+  }
+
   let channelCount = 0
   const coordinator = createCoordinator({
     clock,
@@ -93,7 +103,9 @@
     ...options.coordination,
     send: (connection, message) => {
       const attached = channels.get(connection)
-      attached?.channel.send(message.kind === 'heartbeat-answer' ? attached.encodeAnswer(message) : message)
+      if (message.kind === 'heartbeat-answer') attached?.channel.send(attached.encodeAnswer(message))
+      else if (message.kind === 'directory' || message.kind === 'manifest') attached?.channel.sendPacked(packedOf(message))
+      else attached?.channel.send(message)
     },
     logEvent
   })
--- a/src/control/coordinator-options.ts
+++ b/src/control/coordinator-options.ts
@@ -4,6 +4,8 @@
 import type { ControlLog } from '../types/control-log.js'
 import type { ControlToEntry } from '../types/control-message.js'
 import type { DatabaseOrders } from '../types/database-connection.js'
+import type { DirectoryInstance } from '../types/directory.js'
+import type { InstanceId, WorkspaceId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { ShareAllocator } from '../types/share-allocator.js'
 import type { ConnectionName } from './entry-connections.js'
@@ -28,6 +30,8 @@
    * Default: `placed`.
    */
   holders?: 'placed' | 'every-instance'
+  /** @returns the instances among which the rate of a workspace is divided; null: all of them. Default: all. */
+  rateHolders?: (workspace: WorkspaceId, instances: readonly DirectoryInstance[]) => readonly InstanceId[] | null
   /** Silence after which an instance is lost, in ms. Default: one freshness lease with drift. */
   instanceLostMs?: number
   /** Whether instances are recorded in the control log before they get shares. Default false. */
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -36,6 +36,12 @@
 /** Time in which a new leader builds the directory at each tick, in ms: the longest wait before its first directory, and one tick. */
 const NEW_LEADER_MS = 1600
 
+/**
+ * Least time between two directories because of instances that come and go, in ms for each instance: while a fleet starts, the
+ * directory changes with each instance that joins, and each change goes to all of them.
+ */
+const DIRECTORY_GAP_MS_PER_INSTANCE = 2
+
 /** A heartbeat that waits for its round. The connection may have a later one by then, which the round does not cover. */
 interface PendingAnswer {
   connection: EntryConnection
@@ -236,7 +242,15 @@
 
   function feedAllocator (): void {
     sharesAreStale = false
-    allocator.setResources(shareResources({ manifest: stateEntry.read().manifest, databases: entries.databases.read(), holders: entries.holders.read(), databaseShares: placesHolders, rateTolerance: options.rateTolerance }))
+    const listed = entries.directory.read()?.instances ?? []
+    allocator.setResources(shareResources({
+      manifest: stateEntry.read().manifest,
+      databases: entries.databases.read(),
+      holders: entries.holders.read(),
+      databaseShares: placesHolders,
+      rateHolders: (workspace) => options.rateHolders?.(workspace, listed) ?? null,
+      rateTolerance: options.rateTolerance
+    }))
   }
 
   function stateChanged (): void {
@@ -277,7 +291,9 @@
       logEvent('instanceLost', { instance: instance.instance })
     }
     if (databases.tick().length > 0) directoryIsStale = true
-    if (directoryIsStale || clock.now() - updatedAt >= updateInterval()) update()
+    const sinceUpdate = clock.now() - updatedAt
+    const isDue = directoryIsStale || sinceUpdate >= updateInterval()
+    if (isDue && sinceUpdate >= entries.instances.read().size * DIRECTORY_GAP_MS_PER_INSTANCE) update()
     runEffects(failover.tick())
     publishSwitches()
     allocator.tick()
--- a/src/control/entry-connections.ts
+++ b/src/control/entry-connections.ts
@@ -73,16 +73,22 @@
     byInstance.set(message.instance, name)
   }
 
+  // One object for all connections, so that it has to be encoded only once.
+  let manifestMessage: Extract<ControlToEntry, { kind: 'manifest' }> | null = null
+  let directoryMessage: Extract<ControlToEntry, { kind: 'directory' }> | null = null
+
   function sendManifest (connection: EntryConnection, { manifestVersion, manifest }: PublishedState): void {
     if (manifest === null) return
     connection.manifestSent = { version: manifestVersion, at: clock.now() }
-    send(connection.name, { version: 1, kind: 'manifest', manifestVersion, manifest })
+    if (manifestMessage?.manifest !== manifest || manifestMessage.manifestVersion !== manifestVersion) manifestMessage = { version: 1, kind: 'manifest', manifestVersion, manifest }
+    send(connection.name, manifestMessage)
   }
 
   function sendDirectory (connection: EntryConnection, { directory }: PublishedState): void {
     if (directory === null) return
     connection.directorySent = { version: directory.version, at: clock.now() }
-    send(connection.name, { version: 1, kind: 'directory', directory })
+    if (directoryMessage?.directory !== directory) directoryMessage = { version: 1, kind: 'directory', directory }
+    send(connection.name, directoryMessage)
   }
 
   function push (state: PublishedState): void {
--- a/src/control/share-resources.ts
+++ b/src/control/share-resources.ts
@@ -1,7 +1,7 @@
 import type { RegisteredDatabase } from '../blackboard/control-instance-entries.js'
 import { MAX_HOLDERS } from '../decisions/membership/holder-placement.js'
 import { resourceId } from '../types/ids.js'
-import type { DatabaseId, GroupId, InstanceId, ResourceId } from '../types/ids.js'
+import type { DatabaseId, GroupId, InstanceId, ResourceId, WorkspaceId } from '../types/ids.js'
 import type { Manifest } from '../types/manifest.js'
 import type { ResourceSize } from '../types/share-allocator.js'
 
@@ -19,6 +19,8 @@
   holders: ReadonlyMap<GroupId, readonly InstanceId[]>
   /** Whether slots and connections of databases are shared out; otherwise only rates are. */
   databaseShares: boolean
+  /** @returns instances that may hold a share of the rate; null: all. Default: all. */
+  rateHolders?: (workspace: WorkspaceId) => readonly InstanceId[] | null
   /** What a workspace may get above its rate and burst; default: nothing. */
   rateTolerance?: RateTolerance | undefined
 }
@@ -34,11 +36,11 @@
 const NO_TOLERANCE: RateTolerance = { share: 0, requests: 0 }
 
 /** @returns everything that the share allocator divides: rates of workspaces, slots and connections of databases */
-export function shareResources ({ manifest, databases, holders, databaseShares, rateTolerance = NO_TOLERANCE }: ShareResourceSources): Map<ResourceId, ResourceSize> {
+export function shareResources ({ manifest, databases, holders, databaseShares, rateHolders = () => null, rateTolerance = NO_TOLERANCE }: ShareResourceSources): Map<ResourceId, ResourceSize> {
   const resources = new Map<ResourceId, ResourceSize>()
   if (manifest === null) return resources
   for (const { id, rate, burst } of manifest.workspaces) {
-    resources.set(resourceId('rate', id), { amount: rate * (1 + rateTolerance.share), burst: burst * (1 + rateTolerance.share) + rateTolerance.requests, whole: false, eligible: null })
+    resources.set(resourceId('rate', id), { amount: rate * (1 + rateTolerance.share), burst: burst * (1 + rateTolerance.share) + rateTolerance.requests, whole: false, eligible: rateHolders(id) })
   }
   if (!databaseShares) return resources
   const groups = new Map(manifest.groups.map((group) => [group.id, group]))
--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -6,7 +6,7 @@
 import { compareLogPositions } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import { chooseForRead } from './choose-database.js'
-import type { PooledSession } from './session-pool.js'
+import type { PooledSession } from './pooled-session.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
 import { refuseOperation } from './session-services.js'
 import type { SessionValues } from './session-values.js'
@@ -116,7 +116,7 @@
     need.needsTransaction = 'plain'
     return null
   }
-  const result = await runStatement(services, acquired.pooled, { id: null, statement: { kind: 'begin', readOnly: false }, after: null, values: need.values, limitMs: Math.max(1, need.giveUpAt - clock.now()) })
+  const result = await runStatement(services, acquired.pooled, { id: null, statement: { kind: 'begin', readOnly: false }, after: null, values: need.values, limitMs: Math.max(1, need.giveUpAt - clock.now()), isLast: false })
   if (result.isErr()) return null
   if (result.value.reply.outcome.kind === 'done') return { ...acquired, wrapped: true }
   if (result.value.reply.state === 'idle') pool.release(acquired.pooled)
--- a/src/decisions/caller-sessions/database-health.ts
+++ b/src/decisions/caller-sessions/database-health.ts
@@ -34,10 +34,12 @@
   positionAt: Milliseconds
 }
 
+export type StatementEnd = 'answered' | 'failed' | 'lost' | 'unjudged'
+
 /** Judges databases from the answers to real statements. */
 export interface DatabaseHealth {
-  /** Notes a statement that was sent. @returns a function that notes how it ended */
-  began: (database: DatabaseId) => (ended: 'answered' | 'failed' | 'lost') => void
+  /** Notes a statement that was sent. @returns a function that notes how it ended; `unjudged`: for a reason other than the database */
+  began: (database: DatabaseId) => (ended: StatementEnd) => void
   /** Notes a connection that could not be opened or was lost. */
   connectionFailed: (database: DatabaseId) => void
   connectionOpened: (database: DatabaseId) => void
@@ -78,13 +80,13 @@
     record.failuresInRow++
   }
 
-  function began (database: DatabaseId): (ended: 'answered' | 'failed' | 'lost') => void {
+  function began (database: DatabaseId): (ended: StatementEnd) => void {
     const record = recordOf(database)
     const key = Symbol('statement')
     const sentAt = clock.now()
     record.outstanding.set(key, sentAt)
     return (ended) => {
-      if (!record.outstanding.delete(key)) return
+      if (!record.outstanding.delete(key) || ended === 'unjudged') return
       const isFailure = ended !== 'answered'
       record.failureShare += ((isFailure ? 1 : 0) - record.failureShare) * FAILURE_WEIGHT
       if (ended === 'lost') return failed(record)
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -4,7 +4,7 @@
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import type { Acquired, ConnectionNeed } from './acquire-connection.js'
-import type { PooledSession } from './session-pool.js'
+import type { PooledSession } from './pooled-session.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
 import type { SessionValues } from './session-values.js'
 import { runStatement } from './statement-runner.js'
@@ -129,6 +129,6 @@
 
 /** Rolls back what is open on a connection and gives it back. */
 export async function rollBack (context: SessionContext, pooled: PooledSession): Promise<void> {
-  const result = await runStatement(context.services, pooled, { id: null, statement: { kind: 'rollback' }, after: null, values: context.values, limitMs: context.rollbackLimitMs })
+  const result = await runStatement(context.services, pooled, { id: null, statement: { kind: 'rollback' }, after: null, values: context.values, limitMs: context.rollbackLimitMs, isLast: true })
   if (result.isOk()) giveBack(context, pooled, result.value.reply)
 }
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -1,10 +1,12 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { Clock, Milliseconds } from '../../types/clock.js'
-import type { DatabaseSession, OpenDatabaseSession } from '../../types/database-session.js'
+import type { OpenDatabaseSession } from '../../types/database-session.js'
 import type { DirectoryDatabase } from '../../types/directory.js'
 import type { DatabaseId, WorkspaceId } from '../../types/ids.js'
 import type { DatabaseHealth } from './database-health.js'
+import { createOwnSession } from './pooled-session.js'
+import type { PooledSession } from './pooled-session.js'
 
 /** An idle connection is closed after this time, in milliseconds; the databases close theirs after a minute. */
 const IDLE_CLOSE_MS = 20_000
@@ -19,22 +21,6 @@
 /** Connections of a database that stay free for the system's own status queries: one for the present leader and one for its successor. */
 const SYSTEM_CONNECTIONS = 2
 
-/** A connection with what this instance has set on it. */
-export interface PooledSession {
-  readonly session: DatabaseSession
-  readonly database: DatabaseId
-  readonly workspace: WorkspaceId
-  /** Caller session whose values are set, and their version; null: none are. */
-  values: { owner: symbol, version: number } | null
-  /** Names prepared on the connection, and what they run. */
-  readonly prepared: Map<string, string>
-  /** Statements prepared so far; numbers their names. */
-  preparedCount: number
-  /** Whether it was used before; a new one can't be silent. */
-  isFresh: boolean
-  ended: boolean
-}
-
 interface Waiter {
   workspace: WorkspaceId
   priority: number
@@ -67,8 +53,8 @@
   connectionLimit: (database: DirectoryDatabase) => number
   /** @returns whether connections above the own part must be given up, as the system itself needs some */
   mustSpare: (database: DirectoryDatabase) => boolean
-  /** @returns instances that share the connections */
-  instanceCount: () => number
+  /** @returns instances that share the connections of the database */
+  instanceCount: (database: DirectoryDatabase) => number
   after: (durationMs: number, callback: () => void) => () => void
 }
 
@@ -106,7 +92,7 @@
   /** Part of the connections that is this instance's own. What others leave unused may be taken besides, until the database refuses. */
   function ownPart (database: DirectoryDatabase): number {
     const limit = options.connectionLimit(database) - SYSTEM_CONNECTIONS
-    return Math.max(1, Math.floor(limit / Math.max(1, options.instanceCount())))
+    return Math.max(1, Math.floor(limit / Math.max(1, options.instanceCount(database))))
   }
 
   function mayOpen (database: DirectoryDatabase, pool: DatabaseConnections): boolean {
@@ -137,14 +123,14 @@
     pool.opening.set(workspace, (pool.opening.get(workspace) ?? 1) - 1)
     if (opened.isErr()) return openFailed(database, pool, opened.error.kind)
     health.connectionOpened(database.database)
-    const pooled: PooledSession = { session: opened.value, database: database.database, workspace, values: null, prepared: new Map(), preparedCount: 0, isFresh: true, ended: false }
+    const pooled = createOwnSession(opened.value, database.database, workspace)
     pool.all.add(pooled)
-    pooled.session.onEnd(() => {
+    opened.value.onEnd(() => {
       pooled.ended = true
       pool.all.delete(pooled)
       pool.idle.delete(pooled)
     })
-    if (pools.get(database.database) !== pool) return pooled.session.close()
+    if (pools.get(database.database) !== pool) return pooled.close()
     release(pooled)
   }
 
@@ -206,7 +192,7 @@
     pool.all.delete(pooled)
     pool.idle.delete(pooled)
     pooled.ended = true
-    pooled.session.close()
+    pooled.close()
   }
 
   async function acquire (database: DirectoryDatabase, workspace: WorkspaceId, priority: number, limitMs: number): Promise<Result<PooledSession, PoolRefusal>> {
@@ -236,7 +222,7 @@
   function release (pooled: PooledSession): void {
     const pool = pools.get(pooled.database)
     if (pooled.ended) return
-    if (pool === undefined || !pool.all.has(pooled)) return pooled.session.close()
+    if (pool === undefined || !pool.all.has(pooled)) return pooled.close()
     const waiter = pool.waiters.find(({ workspace }) => workspace === pooled.workspace)
     if (waiter !== undefined) {
       pool.waiters.splice(pool.waiters.indexOf(waiter), 1)
@@ -252,7 +238,7 @@
 
   function discard (pooled: PooledSession): void {
     const pool = pools.get(pooled.database)
-    if (pool === undefined) pooled.session.close()
+    if (pool === undefined) pooled.close()
     else end(pool, pooled)
     const database = lastListed.get(pooled.database)
     if (pool !== undefined && database !== undefined && pool.waiters.length > 0) openForWaiters(database, pool)
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -129,7 +129,7 @@
   /** The answer to `begin` must be known before a statement is sent, which would otherwise run outside of the transaction. */
   async function beginOn (acquired: Acquired, need: ConnectionNeed): Promise<{ error: DatabaseErrorKind, message: string, pauseMs: number } | null> {
     const begin: SessionStatement = { kind: 'begin', readOnly: need.needsTransaction === 'read-only' }
-    const result = await runStatement(services, acquired.pooled, { id: null, statement: begin, after: acquired.after, values, limitMs: Math.max(LEAST_RUN_MS, remaining(context, need)) })
+    const result = await runStatement(services, acquired.pooled, { id: null, statement: begin, after: acquired.after, values, limitMs: Math.max(LEAST_RUN_MS, remaining(context, need)), isLast: false })
     if (result.isErr()) {
       need.tried.add(acquired.pooled.database)
       return { error: 'busy', message: result.error.message, pauseMs: 0 }
@@ -146,7 +146,7 @@
     const on = await hold(grant, arrivedAt, kind === 'write')
     if ('promise' in on) return end(grant, id, kind, on, null)
     const limitMs = Math.max(LEAST_RUN_MS, arrivedAt + grant.endpoint.statementTimeoutMs - clock.now())
-    const result = await runStatement(services, on.pooled, { id, statement, after: null, values, limitMs })
+    const result = await runStatement(services, on.pooled, { id, statement, after: null, values, limitMs, isLast: kind === 'commit' })
     const mayBeKept = kind === 'commit' && hasWritten
     if (result.isErr()) return end(grant, id, kind, refusalOfLoss(result.error.message, mayBeKept), on)
     const { reply, sentAt } = result.value
--- a/src/decisions/caller-sessions/single-statement.ts
+++ b/src/decisions/caller-sessions/single-statement.ts
@@ -48,7 +48,7 @@
   const isWrite = need.kind === 'write'
   const use = isWrite ? services.access.use(held.group, () => {}) : null
   try {
-    const result = await runStatement(services, held.pooled, { id, statement, after: held.after, values, limitMs: Math.max(LEAST_RUN_MS, remaining(context, need)) })
+    const result = await runStatement(services, held.pooled, { id, statement, after: held.after, values, limitMs: Math.max(LEAST_RUN_MS, remaining(context, need)), isLast: !held.wrapped })
     if (result.isErr()) return lost(context, need, held, result.error.message)
     const { reply, sentAt } = result.value
     noteReply(context, held, reply, sentAt, isWrite)
--- a/src/decisions/caller-sessions/statement-runner.ts
+++ b/src/decisions/caller-sessions/statement-runner.ts
@@ -1,23 +1,28 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { Milliseconds } from '../../types/clock.js'
-import type { ConnectionLoss, DatabaseReply, DatabaseRequest } from '../../types/database-session.js'
+import type { ConnectionLoss, DatabaseReply } from '../../types/database-session.js'
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionStatement } from '../../types/session-statement.js'
-import type { PooledSession } from './session-pool.js'
+import type { PooledSession } from './pooled-session.js'
 import type { SessionServices } from './session-services.js'
-import type { SessionValues } from './session-values.js'
+import type { ValuesView } from './session-values.js'
 
-/** - `silent`: no answer within the time of the statement */
-export type StatementLoss = ConnectionLoss | { kind: 'silent', message: string }
+/**
+ * - `silent`: no answer within the time of the statement
+ * - `holder-lost`: the instance that holds the connection gave no answer, which tells nothing of the database
+ */
+export type StatementLoss = ConnectionLoss | { kind: 'silent' | 'holder-lost', message: string }
 
 export interface StatementRun {
   id: string | null
   statement: SessionStatement
   after: LogPosition | null
-  values: SessionValues
+  values: ValuesView
   /** Time for the answer in milliseconds. */
   limitMs: number
+  /** Whether the caller needs the connection no more after the answer, if that leaves it outside of any transaction. */
+  isLast: boolean
 }
 
 /** An answer, and when its statement was sent. */
@@ -36,9 +41,9 @@
   const sentAt = clock.now()
   const wasFresh = pooled.isFresh
   pooled.isFresh = false
-  const result = await withinTime(services, prepareAndRun(pooled, run), run.limitMs)
+  const result = await withinTime(services, pooled.run(run), run.limitMs)
   if (result.isErr()) {
-    ended('lost')
+    ended(result.error.kind === 'holder-lost' ? 'unjudged' : 'lost')
     pool.discard(pooled)
     if (result.error.kind === 'silent' && !wasFresh) pool.distrust(pooled.database)
     return err(result.error)
@@ -50,7 +55,7 @@
   return ok({ reply, sentAt })
 }
 
-async function withinTime (services: Pick<SessionServices, 'after'>, answer: Promise<Result<DatabaseReply, ConnectionLoss>>, limitMs: number): Promise<Result<DatabaseReply, StatementLoss>> {
+async function withinTime (services: Pick<SessionServices, 'after'>, answer: Promise<Result<DatabaseReply, StatementLoss>>, limitMs: number): Promise<Result<DatabaseReply, StatementLoss>> {
   return await new Promise((resolve) => {
     const cancel = services.after(limitMs, () => { resolve(err({ kind: 'silent', message: `no answer within ${Math.round(limitMs)} ms` })) })
     answer.then((result) => {
@@ -62,50 +67,3 @@
     })
   })
 }
-
-async function prepareAndRun (pooled: PooledSession, run: StatementRun): Promise<Result<DatabaseReply, ConnectionLoss>> {
-  const set = await setValues(pooled, run.values)
-  if (set.isErr()) return err(set.error)
-  if (run.statement.kind !== 'execute') return await pooled.session.run({ id: run.id, statement: run.statement, after: run.after })
-  return await execute(pooled, run, run.statement)
-}
-
-/** Brings the values on the connection to those of the caller's session. A statement must not run before they are confirmed. */
-async function setValues (pooled: PooledSession, values: SessionValues): Promise<Result<void, ConnectionLoss>> {
-  const version = values.version()
-  const isSame = pooled.values === null ? version === 0 : pooled.values.owner === values.owner && pooled.values.version === version
-  if (isSame) return ok(undefined)
-  const isOwn = pooled.values?.owner === values.owner
-  const requests: DatabaseRequest[] = []
-  if (pooled.values !== null && !isOwn) {
-    requests.push({ id: null, statement: { kind: 'reset' }, after: null })
-    pooled.prepared.clear()
-  }
-  for (const { name, value } of values.since(isOwn ? pooled.values?.version ?? 0 : 0)) requests.push({ id: null, statement: { kind: 'set', name, value }, after: null })
-  pooled.values = null
-  const replies = await Promise.all(requests.map((request) => pooled.session.run(request)))
-  for (const reply of replies) {
-    if (reply.isErr()) return err(reply.error)
-    if (reply.value.outcome.kind === 'error') return err({ kind: 'lost', message: `the database refused a session value: ${reply.value.outcome.message}` })
-  }
-  pooled.values = version === 0 ? null : { owner: values.owner, version }
-  return ok(undefined)
-}
-
-/** Prepared statements are named by what they run, so that all sessions on the connection share them. */
-async function execute (pooled: PooledSession, run: StatementRun, statement: Extract<SessionStatement, { kind: 'execute' }>): Promise<Result<DatabaseReply, ConnectionLoss>> {
-  const definition = run.values.prepared.get(statement.name)
-  if (definition === undefined) throw new Error(`the session prepared no statement ${statement.name}`)
-  const key = `${definition.access} ${definition.shape}`
-  const known = pooled.prepared.get(key)
-  const name = known ?? `p${++pooled.preparedCount}`
-  const request: DatabaseRequest = { id: run.id, statement: { ...statement, name }, after: run.after }
-  if (known !== undefined) return await pooled.session.run(request)
-  pooled.prepared.set(key, name)
-  // The database takes requests in order; if it can't prepare the statement, executing it fails without a run.
-  const prepared = pooled.session.run({ id: null, statement: { kind: 'prepare', name, ...definition }, after: null })
-  const executed = pooled.session.run(request)
-  const preparing = await prepared
-  if (preparing.isOk() && preparing.value.outcome.kind === 'error') pooled.prepared.delete(key)
-  return await executed
-}
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -2,6 +2,7 @@
 import { createMetrics } from '../adapters/metrics/create-metrics.js'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { Hello } from '../adapters/ws/message-channel.js'
+import { listenForMessages } from '../adapters/ws/message-server.js'
 import { createBlackboard } from '../blackboard/blackboard.js'
 import { directoryEntry, drainingEntry, freshnessEntry, manifestEntry, sharesEntry } from '../blackboard/entry-instance-entries.js'
 import type { CallerSession } from '../decisions/caller-sessions/caller-session.js'
@@ -9,7 +10,9 @@
 import { createDatabaseHealth } from '../decisions/caller-sessions/database-health.js'
 import { createEndpointIndex } from '../decisions/caller-sessions/endpoint-index.js'
 import { createGroupAccess } from '../decisions/caller-sessions/group-access.js'
+import { createConnectionLending } from '../decisions/caller-sessions/connection-lending.js'
 import { createSessionPool } from '../decisions/caller-sessions/session-pool.js'
+import { createConnectionPlacement, createSharedPool } from '../decisions/caller-sessions/shared-pool.js'
 import type { FinishedOperation, SessionServices } from '../decisions/caller-sessions/session-services.js'
 import { createControlAttachment } from '../decisions/freshness/control-attachment.js'
 import { createShareHolder } from '../decisions/limits/share-holder.js'
@@ -18,13 +21,15 @@
 import type { Clock } from '../types/clock.js'
 import { milliseconds } from '../types/clock.js'
 import type { OpenDatabaseSession } from '../types/database-session.js'
-import type { DatabaseId, InstanceId } from '../types/ids.js'
-import type { Address, FailureDomainId } from '../types/ids.js'
-import { incarnationId } from '../types/ids.js'
+import type { DirectoryDatabase, DirectoryInstance } from '../types/directory.js'
+import type { Address, DatabaseId, FailureDomainId, InstanceId } from '../types/ids.js'
+import { address, incarnationId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { SessionRefusal } from '../types/session-statement.js'
 import { resultCodes } from '../types/result-code.js'
 import { createControlLink } from './control-link.js'
+import { createPeerCalls } from './peer-calls.js'
+import { createPeerService } from './peer-service.js'
 import { createAdmission } from './session-admission.js'
 
 /** Time between ticks of the controllers in milliseconds. */
@@ -41,13 +46,15 @@
 const INCARNATION_BYTES = 8
 /** A transaction may idle for this long when the manifest sets no limit, in milliseconds. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000
+const NO_INSTANCES: readonly DirectoryInstance[] = []
 /** Longest wait for the first manifest when a session opens, in milliseconds: callers give up after two seconds. */
 const FIRST_MANIFEST_WAIT_MS = 1500
 
 export interface SessionInstanceOptions {
   instance: InstanceId
   failureDomain: FailureDomainId
-  ownAddress: Address
+  /** Where other instances connect. */
+  peers: { host: string, port: number }
   /** Addresses of control members that the settings name, as they are now. */
   seeds: () => readonly Address[]
   clusterSecret: string
@@ -65,6 +72,8 @@
   openSession: (endpointName: string, keyDigest: string | null) => Promise<CallerSession | SessionRefusal>
   /** @returns why no new callers should come here; null when they may */
   notReadyReason: () => string | null
+  /** @returns connections that other instances have borrowed */
+  lentCount: () => number
   /** Tells that no new callers should come. */
   beginDrain: () => void
   renderMetrics: () => Promise<{ contentType: string, text: string }>
@@ -76,9 +85,13 @@
   return () => { clearTimeout(timer) }
 }
 
-/** Starts the instance: it attaches to the control leader and serves once it has a manifest and a directory. */
-export function startSessionInstance (options: SessionInstanceOptions): SessionInstance {
+/**
+ * Starts the instance: it attaches to the control leader and serves once it has a manifest and a directory.
+ * @throws Error when the address for other instances can't be used
+ */
+export async function startSessionInstance (options: SessionInstanceOptions): Promise<SessionInstance> {
   const { clock, logEvent, instance, failureDomain } = options
+  const ownAddress = address(`${options.peers.host}:${options.peers.port}`)
   const blackboard = createBlackboard()
   const draining = blackboard.claim(drainingEntry, 'drain')
   const manifest = blackboard.reader(manifestEntry)
@@ -92,16 +105,36 @@
   const buckets = createTokenBuckets(clock)
   const limiter = createWorkspaceLimiter({ clock, blackboard, buckets, maxWaitMs: RATE_WAIT_MS })
   const shareHolder = createShareHolder({ clock, blackboard, buckets, demandSources: [limiter.demand], startedAt: PROCESS_START })
-  const admission = createAdmission(limiter, () => { wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' })) })
-  const pool = createSessionPool({
+  const hello = (purpose: Hello['purpose']): Hello => ({ purpose, name: instance, address: ownAddress })
+  const calls = createPeerCalls({ clock, hello: hello('peer'), clusterSecret: options.clusterSecret, logEvent, after: callAfter })
+  const admission = createAdmission({
+    clock,
+    instance,
+    limiter,
+    calls,
+    instances: () => directory.read()?.instances ?? NO_INSTANCES,
+    onDemand: () => { wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' })) }
+  })
+  const connectionLimit = ({ group }: DirectoryDatabase): number => endpoints.connectionLimit(group)
+  const placement = createConnectionPlacement({ blackboard, connectionLimit })
+  const ownPool = createSessionPool({
     clock,
     health,
     open: options.open,
-    connectionLimit: ({ group }) => endpoints.connectionLimit(group),
+    connectionLimit,
     mustSpare: ({ group }) => access.isChanging(group),
-    instanceCount: () => directory.read()?.instances.length ?? 1,
+    instanceCount: placement.count,
     after: callAfter
   })
+  const pool = createSharedPool({ instance, own: ownPool, placement, calls, health })
+  const lending = createConnectionLending({ clock, pool: ownPool, health, find: access.find, isDraining: draining.read, after: callAfter })
+  const peerServer = await listenForMessages({
+    ...options.peers,
+    clusterSecret: options.clusterSecret,
+    tls: null,
+    pings: 'while-waiting',
+    onChannel: createPeerService({ lending, takeToken: admission.takeToken, logEvent })
+  })
 
   const attachment = createControlAttachment({
     clock,
@@ -122,7 +155,7 @@
       ...core,
       instance,
       incarnation,
-      peerAddress: options.ownAddress,
+      peerAddress: ownAddress,
       failureDomain,
       draining: draining.read(),
       ...shareHolder.composeHeartbeat(core.sequence),
@@ -130,8 +163,7 @@
       releasedTerms: access.releasedTerms()
     })
   })
-  const hello: Hello = { purpose: 'control', name: instance, address: options.ownAddress }
-  const link = createControlLink({ attachment, hello, clusterSecret: options.clusterSecret, tls: null })
+  const link = createControlLink({ attachment, hello: hello('control'), clusterSecret: options.clusterSecret, tls: null })
 
   function wantHeartbeat (wanted: readonly unknown[]): void {
     if (wanted.length > 0) link.handle({ kind: 'heartbeat-wanted' })
@@ -182,6 +214,7 @@
 
   directory.onWrite(() => {
     health.keepOnly(new Set(directory.read()?.databases.map(({ database }) => database)))
+    calls.keepOnly(directory.read()?.instances ?? NO_INSTANCES)
     setImmediate(() => {
       tickPool()
       // The leader of a planned change waits for the terms that this instance releases.
@@ -208,6 +241,7 @@
   return {
     openSession,
     notReadyReason,
+    lentCount: lending.count,
     beginDrain: () => {
       draining.write(true)
       link.handle({ kind: 'heartbeat-wanted' })
@@ -219,12 +253,16 @@
       metrics.setGauge('database_connections', open)
       metrics.setGauge('idle_database_connections', idle)
       metrics.setGauge('waiting_for_connection', waiting)
+      metrics.setGauge('lent_connections', lending.count())
+      metrics.setGauge('peer_channels', calls.connectedCount())
       return await metrics.render()
     },
     stop: () => {
       for (const stopTick of stopTicks) stopTick()
       link.close()
+      calls.close()
       pool.close()
+      peerServer.close().catch((error: unknown) => { logEvent('failed', { message: String(error) }) })
     }
   }
 }
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -32,6 +32,7 @@
   freshnessRegained: { event: 304, name: 'freshness-regained', level: 'info', meaning: 'This instance has a freshness lease again.' },
   controlChanged: { event: 305, name: 'control-changed', level: 'info', meaning: 'This instance moved to another control member.' },
   peerConnectionLost: { event: 306, name: 'peer-connection-lost', level: 'warn', meaning: 'The connection to another process of the system ended or went silent.' },
+  peerCallFailed: { event: 308, name: 'peer-call-failed', level: 'error', meaning: 'A call of another instance could not be answered because of an unexpected error.' },
   holdersChanged: { event: 307, name: 'holders-changed', level: 'info', meaning: 'The holders of a group changed.' },
 
   databaseAnnounced: { event: 401, name: 'database-announced', level: 'info', meaning: 'A database announced itself for the first time or changed its address.' },
--- a/test/platform/whole-path.test.ts
+++ b/test/platform/whole-path.test.ts
@@ -44,7 +44,7 @@
 /** One control instance, one entry instance, three databases and the authority, as the platform would run them, in one process. */
 async function startWorld (teardown: (callback: () => unknown) => void) {
   const folder = await mkdtemp(join(tmpdir(), 'catkinrelay-path-'))
-  const [internalPort, controlPort, callerPort, authorityPort] = [await freePort(), await freePort(), await freePort(), await freePort()]
+  const [internalPort, controlPort, callerPort, authorityPort, peerPort] = [await freePort(), await freePort(), await freePort(), await freePort(), await freePort()]
   const databases = new Map<string, WireDatabase>()
   for (const name of ['i-p', 'i-r', 'i-s']) databases.set(name, await startWireDatabase('g', name, name === 'i-p' ? 'primary' : 'replica'))
   const promotions: { id: string, token: string | undefined }[] = []
@@ -89,10 +89,10 @@
   })
   const service = createConfigurationService({ log: core.log, clock: monotonicClock, requiredVoters: 1, formationLimitMs: 0, logEvent: () => {} })
   const control = await listenForControl({ host: HOST, port: controlPort, core, configuration: service, logEvent: () => {} })
-  const instance = startSessionInstance({
+  const instance = await startSessionInstance({
     instance: instanceId('entry-1'),
     failureDomain: failureDomainId('z'),
-    ownAddress: address(`${HOST}:${callerPort}`),
+    peers: { host: HOST, port: peerPort },
     seeds: () => [seed],
     clusterSecret: SECRET,
     clock: monotonicClock,
