--- /dev/null
+++ b/test/decisions/caller-sessions/connection-holders.test.ts
@@ -0,0 +1,47 @@
+import t from 'tap'
+import { connectionHolders, rankHolders } from '../../../src/decisions/caller-sessions/connection-holders.js'
+import type { DirectoryDatabase, DirectoryInstance } from '../../../src/types/directory.js'
+import { address, databaseId, failureDomainId, groupId, incarnationId, instanceId, workspaceId } from '../../../src/types/ids.js'
+
+const database: DirectoryDatabase = { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('f0'), weight: 1 }
+
+function fleet (size: number, domains = 4): DirectoryInstance[] {
+  return Array.from({ length: size }, (_, index) => ({
+    instance: instanceId(`e${index}`), incarnation: incarnationId(`e${index}.1`), peerAddress: address(`e${index}:1`), failureDomain: failureDomainId(`f${index % domains}`), draining: false
+  }))
+}
+
+t.test('every instance holds its own connections where there are enough of them', async (t) => {
+  t.equal(connectionHolders({ database, instances: fleet(9), connectionLimit: 33, workspaceCount: 8 }), null)
+  t.equal(connectionHolders({ database, instances: fleet(7), connectionLimit: 50, workspaceCount: 8 }), null)
+  t.equal(connectionHolders({ database, instances: fleet(1), connectionLimit: 2, workspaceCount: 1 }), null)
+})
+
+t.test('otherwise the instances of the database\'s failure domain hold them, draining ones excepted', async (t) => {
+  const instances = fleet(80)
+  const [first] = instances.splice(0, 1)
+  const holders = connectionHolders({ database, instances: [{ ...first as DirectoryInstance, draining: true }, ...instances], connectionLimit: 80, workspaceCount: 84 })
+  t.equal(holders?.length, 19)
+  t.ok(holders?.every(({ failureDomain }) => failureDomain === 'f0'))
+})
+
+t.test('a database in a failure domain without instances is held by all', async (t) => {
+  const far = { ...database, failureDomain: failureDomainId('elsewhere') }
+  t.equal(connectionHolders({ database: far, instances: fleet(80), connectionLimit: 80, workspaceCount: 84 })?.length, 80)
+})
+
+t.test('the loss of an instance moves only the workspaces that it held', async (t) => {
+  const instances = fleet(20, 1)
+  const lost = instances[7] as DirectoryInstance
+  const remaining = instances.filter((instance) => instance !== lost)
+  const counts = new Map<string, number>()
+  for (let index = 0; index < 1000; index++) {
+    const workspace = workspaceId(`w${index}`)
+    const before = rankHolders(instances, database, workspace)
+    const after = rankHolders(remaining, database, workspace)
+    const first = before[0] as DirectoryInstance
+    counts.set(first.instance, (counts.get(first.instance) ?? 0) + 1)
+    t.equal(after[0], first === lost ? before[1] : first)
+  }
+  t.ok(Math.max(...counts.values()) < 100, 'no instance holds twice its part of 50')
+})
--- /dev/null
+++ b/test/decisions/limits/rate-holders.test.ts
@@ -0,0 +1,20 @@
+import t from 'tap'
+import { rateHolders } from '../../../src/decisions/limits/rate-holders.js'
+import { instanceId, workspaceId } from '../../../src/types/ids.js'
+
+const fleet = (size: number) => Array.from({ length: size }, (_, index) => ({ instance: instanceId(`e${index}`), draining: index === 3 }))
+
+t.test('in a small fleet every instance holds a share', async (t) => {
+  t.equal(rateHolders(workspaceId('w'), fleet(9)), null)
+})
+
+t.test('in a large one three instances do, none of them draining, and the rates are spread over all', async (t) => {
+  const counts = new Map<string, number>()
+  for (let index = 0; index < 200; index++) {
+    const holders = rateHolders(workspaceId(`w${index}`), fleet(67)) ?? []
+    t.equal(new Set(holders).size, 3)
+    t.notOk(holders.includes(instanceId('e3')))
+    for (const holder of holders) counts.set(holder, (counts.get(holder) ?? 0) + 1)
+  }
+  t.ok(counts.size > 60)
+})
