--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,39 @@
+import { join } from 'node:path'
+import { Command } from 'commander'
+import { runSeed } from './run-seed.js'
+
+interface Flags {
+  seed: string
+  seeds: string
+  seconds: string
+  entries: string
+  controls: string
+  folder: string
+}
+
+const program = new Command('soak')
+  .description('plays random faults over real processes on loopback and checks the promises from what callers and databases see')
+  .option('--seed <number>', 'first seed; default: the time of day', String(Math.floor(Date.now() / 1000)))
+  .option('--seeds <count>', 'number of seeds', '5')
+  .option('--seconds <count>', 'time of the faults for each seed', '15')
+  .option('--entries <count>', 'entry instances', '4')
+  .option('--controls <count>', 'control instances', '3')
+  .option('--folder <path>', 'settings, data and logs of seeds that broke a promise', '.soak')
+
+/** Ends with exit code 1 when a promise was broken. */
+async function soak (flags: Flags): Promise<void> {
+  let broken = 0
+  for (let number = 0; number < Number(flags.seeds); number++) {
+    const seed = Number(flags.seed) + number
+    const result = await runSeed({ seed, durationMs: Number(flags.seconds) * 1000, entries: Number(flags.entries), controls: Number(flags.controls), folder: join(flags.folder, `seed-${seed}`), network: 32 + seed % 64 })
+    if (result.violations.length > 0) broken++
+    console.log(JSON.stringify({ ...result, violations: result.violations.slice(0, 10), violationCount: result.violations.length }))
+  }
+  process.exit(broken > 0 ? 1 : 0)
+}
+
+program.action(async () => { await soak(program.opts<Flags & Record<string, string>>()) })
+program.parseAsync().catch((error: unknown) => {
+  console.error(error)
+  process.exit(2)
+})
