membership: an instance that ends as planned gives back what it holds, and no later leader waits for it

Change: 'leave' as the last message of a run, after its service ended: shares free at once, registry and control log forget it; its next run is recorded anew before it gets shares.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -11,7 +11,7 @@
 import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
 import { createHolderAssignment } from '../decisions/membership/holder-assignment.js'
 import { createInstanceRegistry } from '../decisions/membership/instance-registry.js'
-import type { EntryToControl, Heartbeat } from '../types/control-message.js'
+import type { EntryToControl, Heartbeat, LeaveMessage } from '../types/control-message.js'
 import type { ControlSummary } from '../types/control-summary.js'
 import type { Announcement } from '../types/database-status.js'
 import type { GroupId } from '../types/ids.js'
@@ -180,6 +180,15 @@
     else answer(pending, publishedState(), provenMsAgo)
   }
 
+  /** What the run held is free, and neither a promotion nor a later leader has to wait for it. */
+  function takeLeave ({ instance, incarnation }: LeaveMessage): void {
+    if (!instances.leave(instance, incarnation)) return
+    allocator.leave(instance, incarnation)
+    recordedInstances.forget(instance)
+    instancesChanged()
+    logEvent('instanceLeft', { instance, incarnation })
+  }
+
   function takeAnnouncement (announcement: Announcement, ageMs: number): void {
     stateChanged()
     const { database, group, address } = announcement
@@ -280,6 +289,7 @@
     if (leadership.term() === null) return refer(connection)
     if (message.kind === 'heartbeat') takeHeartbeat(connection, message)
     if (message.kind === 'announcement') takeAnnouncement(message.announcement, message.ageMs)
+    if (message.kind === 'leave') takeLeave(message)
   }
 
   function tick (): void {
--- a/src/control/recorded-instances.ts
+++ b/src/control/recorded-instances.ts
@@ -22,6 +22,8 @@
 export interface RecordedInstances {
   /** @returns whether the instance may hold shares; if not yet, it is recorded */
   mayHold: (instance: InstanceId) => boolean
+  /** The instance holds nothing any more, so no later leader has to wait for it. */
+  forget: (instance: InstanceId) => void
   /** @param leadingSince - start of this leadership */
   tick: (leadingSince: Milliseconds) => void
 }
@@ -29,20 +31,28 @@
 /** Creates the list. Without it, a new leader would have to wait for the leases of instances that it can't know of. */
 export function createRecordedInstances ({ clock, log, isEnabled, isRegistered, onRecorded }: RecordedInstancesOptions): RecordedInstances {
   const proposed = new Set<InstanceId>()
+  const forgetting = new Set<InstanceId>()
   const missingSince = new Map<InstanceId, Milliseconds>()
   let lookedAt = -Infinity
 
   function propose (kind: 'record-instance' | 'forget-instance', instance: InstanceId): void {
     if (proposed.has(instance)) return
     proposed.add(instance)
-    log.propose({ kind, instance }).then((result) => {
+    if (kind === 'forget-instance') forgetting.add(instance)
+    const ended = (): void => {
       proposed.delete(instance)
+      forgetting.delete(instance)
+    }
+    log.propose({ kind, instance }).then((result) => {
+      ended()
       if (kind === 'record-instance' && result.isOk()) onRecorded(instance)
-    }, () => { proposed.delete(instance) })
+    }, ended)
   }
 
   function mayHold (instance: InstanceId): boolean {
-    if (!isEnabled || log.state().instances.includes(instance)) return true
+    if (!isEnabled) return true
+    // A new run of an instance that is being forgotten must be recorded anew.
+    if (!forgetting.has(instance) && log.state().instances.includes(instance)) return true
     propose('record-instance', instance)
     return false
   }
@@ -62,5 +72,9 @@
     }
   }
 
-  return { mayHold, tick }
+  function forget (instance: InstanceId): void {
+    if (isEnabled && log.state().instances.includes(instance)) propose('forget-instance', instance)
+  }
+
+  return { mayHold, forget, tick }
 }
--- a/src/decisions/freshness/control-attachment.ts
+++ b/src/decisions/freshness/control-attachment.ts
@@ -2,7 +2,7 @@
 import { directoryEntry, freshnessEntry, manifestEntry } from '../../blackboard/entry-instance-entries.js'
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import { addTime } from '../../types/clock.js'
-import type { ControlToEntry, Heartbeat, HeartbeatAnswer, NotLeader, AnnouncementMessage } from '../../types/control-message.js'
+import type { AnnouncementMessage, ControlToEntry, Heartbeat, HeartbeatAnswer, LeaveMessage, NotLeader } from '../../types/control-message.js'
 import type { Controller } from '../../types/controller.js'
 import type { Directory, DirectoryVersion } from '../../types/directory.js'
 import type { Address } from '../../types/ids.js'
@@ -51,13 +51,13 @@
   /** Something changed that the leader should know at once. */
   | { kind: 'heartbeat-wanted' }
   /** Sent when attached, dropped otherwise; the sender repeats it. */
-  | { kind: 'forward', message: AnnouncementMessage | ServiceLevelIncrement }
+  | { kind: 'forward', message: AnnouncementMessage | ServiceLevelIncrement | LeaveMessage }
 
 export type AttachmentEffect =
   | { kind: 'dial', address: Address }
   /** After this effect nothing of the former connection is delivered any more. */
   | { kind: 'hang-up' }
-  | { kind: 'send', message: Heartbeat | AnnouncementMessage | ServiceLevelIncrement }
+  | { kind: 'send', message: Heartbeat | AnnouncementMessage | ServiceLevelIncrement | LeaveMessage }
 
 function isNewer (version: DirectoryVersion, held: DirectoryVersion | null): boolean {
   if (held === null) return true
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -239,6 +239,20 @@
     return granted
   }
 
+  function leave (instance: InstanceId, incarnation: IncarnationId): void {
+    const client = clients.get(instance)
+    if (client === undefined || client.incarnation !== incarnation) return
+    const now = clock.now()
+    clients.delete(instance)
+    for (const [resource, account] of [...client.accounts]) {
+      const shares = resources.get(resource) as ResourceShares
+      fillReserve(shares, now)
+      closeAccount(account, shares)
+      if (now >= grantsBegin) recountReserve(shares, now)
+      shares.dirty = true
+    }
+  }
+
   function takeChanged (): InstanceId[] {
     const now = clock.now()
     const changed: InstanceId[] = []
@@ -298,5 +312,5 @@
     forgetClients()
   }
 
-  return { becomeLeader, expectHolders, setResources, report, renew, takeChanged, tick }
+  return { becomeLeader, expectHolders, setResources, report, leave, renew, takeChanged, tick }
 }
--- a/src/decisions/membership/instance-registry.ts
+++ b/src/decisions/membership/instance-registry.ts
@@ -3,7 +3,7 @@
 import type { HolderObservation, RegisteredInstance } from '../../blackboard/control-instance-entries.js'
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import type { Heartbeat } from '../../types/control-message.js'
-import type { DatabaseId, InstanceId } from '../../types/ids.js'
+import type { DatabaseId, IncarnationId, InstanceId } from '../../types/ids.js'
 import { FRESHNESS_LEASE_END_MS } from '../../types/lease.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
@@ -24,6 +24,8 @@
 /** Instances as their heartbeats describe them. */
 export interface InstanceRegistry {
   handle: (heartbeat: Heartbeat) => HeartbeatOutcome
+  /** The run has ended as planned. @returns whether it was registered */
+  leave: (instance: InstanceId, incarnation: IncarnationId) => boolean
   /** @returns instances that are lost since the last call */
   tick: () => RegisteredInstance[]
   /** Forgets everything; called at each change of leadership. */
@@ -54,6 +56,13 @@
     return isSamePlace(known, registered) ? 'unchanged' : 'changed'
   }
 
+  function leave (instance: InstanceId, incarnation: IncarnationId): boolean {
+    if (instances.get(instance)?.incarnation !== incarnation) return false
+    instances.delete(instance)
+    entry.write(instances)
+    return true
+  }
+
   function tick (): RegisteredInstance[] {
     const oldest = clock.now() - lostAfterMs
     const lost = [...instances.values()].filter((instance) => instance.lastHeartbeatAt < oldest)
@@ -67,7 +76,7 @@
     entry.write(instances)
   }
 
-  return { handle, tick, reset }
+  return { handle, leave, tick, reset }
 }
 
 function register (heartbeat: Heartbeat, now: Milliseconds): RegisteredInstance {
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -76,6 +76,8 @@
   lentCount: () => number
   /** Tells that no new callers should come. */
   beginDrain: () => void
+  /** Ends all service, and tells the control leader so, which may then give to others what this instance held. */
+  leave: () => void
   renderMetrics: () => Promise<{ contentType: string, text: string }>
   stop: () => void
 }
@@ -238,6 +240,14 @@
     return clock.now() < freshness.read().validUntil ? null : 'not-fresh'
   }
 
+  /** Nothing may be admitted afterwards, neither here nor for other instances. */
+  function endService (): void {
+    for (const stopTick of stopTicks) stopTick()
+    calls.close()
+    pool.close()
+    peerServer.close().catch((error: unknown) => { logEvent('failed', { message: String(error) }) })
+  }
+
   return {
     openSession,
     notReadyReason,
@@ -246,6 +256,10 @@
       draining.write(true)
       link.handle({ kind: 'heartbeat-wanted' })
     },
+    leave: () => {
+      endService()
+      link.handle({ kind: 'forward', message: { version: 1, kind: 'leave', instance, incarnation } })
+    },
     renderMetrics: async () => {
       metrics.setGauge('manifest_version', manifest.read()?.version ?? 0)
       metrics.setGauge('fresh', clock.now() < freshness.read().validUntil ? 1 : 0)
@@ -258,11 +272,8 @@
       return await metrics.render()
     },
     stop: () => {
-      for (const stopTick of stopTicks) stopTick()
+      endService()
       link.close()
-      calls.close()
-      pool.close()
-      peerServer.close().catch((error: unknown) => { logEvent('failed', { message: String(error) }) })
     }
   }
 }
--- a/src/types/control-message.ts
+++ b/src/types/control-message.ts
@@ -90,5 +90,13 @@
   kind: 'heartbeat-request'
 }
 
-export type EntryToControl = Heartbeat | AnnouncementMessage | ServiceLevelIncrement
+/** The last message of a run that ends as planned: it admits nothing and uses no primary any more. */
+export interface LeaveMessage {
+  version: 1
+  kind: 'leave'
+  instance: InstanceId
+  incarnation: IncarnationId
+}
+
+export type EntryToControl = Heartbeat | AnnouncementMessage | ServiceLevelIncrement | LeaveMessage
 export type ControlToEntry = HeartbeatAnswer | ManifestMessage | DirectoryMessage | NotLeader | HeartbeatRequest | ServiceLevelAcknowledgement
--- a/src/types/share-allocator.ts
+++ b/src/types/share-allocator.ts
@@ -39,6 +39,8 @@
   setResources: (resources: ReadonlyMap<ResourceId, ResourceSize>) => void
   /** Takes what a heartbeat reports: acknowledgements, adoption, demand. */
   report: (report: ShareReport) => void
+  /** A run has ended and admits nothing more: its shares are free at once. */
+  leave: (instance: InstanceId, incarnation: IncarnationId) => void
   /**
    * Renews and returns all shares of an instance. Called when its heartbeat is answered; the lease is counted from this call.
    */
--- a/test/decisions/limits/share-allocator.test.ts
+++ b/test/decisions/limits/share-allocator.test.ts
@@ -135,6 +135,20 @@
   }
 })
 
+t.test('the share of an instance that left is free at once, and a late word of that run gets nothing of it', async (t) => {
+  const [a, b] = [newMember('a'), newMember('b')]
+  const leader = startLeader(a, b)
+  settle(leader, [[a, 90], [b, 90]])
+  t.ok(heldOf(a, rate) > 30)
+  leader.allocator.leave(instanceId('a'), incarnationId('b-1'))
+  settle(leader, [[b, 90]])
+  t.ok(heldOf(b, rate) < 60, 'another run can not give the share away')
+  leader.allocator.leave(instanceId('a'), incarnationId('a-1'))
+  settle(leader, [[b, 90]])
+  t.ok(heldOf(b, rate) > 85)
+  t.equal(heldOf(b), 5)
+})
+
 t.test('a restarted instance holds nothing and does not inherit the share of its former run', async (t) => {
   const former = newMember('a', 'a-1')
   const leader = startLeader(former)
