control: fewer wake-ups and signs of life; answers speak for a database for 600 ms only

Change: an instance at rest ticks every 100 ms (25 ms while something waits); entry channels to control need no pings beside heartbeats; one former channel of an instance is closed when it attaches again; an answer is reported for 600 ms, and a single silent reporter replaces nothing while others are there. Log: 310 when a leader begins to grant, heldBy in decision lines. Tests: repeat-at-pace, database-health, 'the silence of a single instance'.

--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -6,7 +6,7 @@
 import type { WebSocket } from 'ws'
 import { acceptHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
-import type { ChannelPings, MessageChannel } from './message-channel.js'
+import type { ChannelPings, Hello, MessageChannel } from './message-channel.js'
 import { createMessageChannel } from './message-channel.js'
 import type { TlsFiles } from './tls-files.js'
 import { readTlsFiles } from './tls-files.js'
@@ -19,8 +19,8 @@
   port: number
   clusterSecret: string
   tls: TlsFiles | null
-  /** Default: `always`. */
-  pings?: ChannelPings
+  /** @returns when a channel asks its peer for signs of life; default: `always` */
+  pings?: (hello: Hello) => ChannelPings
   /** Called for each connection that passed the handshake. */
   onChannel: (channel: MessageChannel) => void
 }
@@ -49,7 +49,7 @@
     const inbox = createInbox(socket)
     try {
       const hello = await acceptHandshake(socket, inbox, options.clusterSecret)
-      options.onChannel(createMessageChannel(socket, inbox, hello, options.pings))
+      options.onChannel(createMessageChannel(socket, inbox, hello, options.pings?.(hello)))
     } catch {
       socket.terminate()
     }
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -118,6 +118,8 @@
 
   function acceptEntry (channel: MessageChannel): void {
     const name = `${channel.hello.name}#${++channelCount}`
+    // An instance that attaches again has given its former channel up, which may be silent for good.
+    for (const { channel: former } of [...channels.values()]) if (former.hello.name === channel.hello.name) former.close()
     channels.set(name, { channel, encodeAnswer: createAnswerEncoder() })
     const decodeHeartbeat = createHeartbeatDecoder()
     coordinator.attach(name)
@@ -143,7 +145,14 @@
     else channel.close()
   }
 
-  const server: MessageServer = await listenForMessages({ ...options.listen, clusterSecret, tls, onChannel: accept })
+  const server: MessageServer = await listenForMessages({
+    ...options.listen,
+    clusterSecret,
+    tls,
+    // Heartbeats of entry instances are signs of life themselves.
+    pings: ({ purpose }) => purpose === 'member' ? 'always' : 'while-waiting',
+    onChannel: accept
+  })
   const stopTicks = repeatByTimer(TICK_MS, () => {
     coordinator.tick()
     serviceLevels.tick()
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -103,6 +103,8 @@
   let sharesAreStale = true
   let directoryIsStale = true
   let updatedAt = -Infinity
+  /** Term for which the begin of granting was logged. */
+  let grantingTerm: number | null = null
   let publishedSwitches: ReadonlySet<GroupId> = entries.switching.read()
 
   function leadershipBegan (term: number): void {
@@ -307,11 +309,19 @@
     runEffects(failover.tick())
     publishSwitches()
     allocator.tick()
+    noteGranting()
     requestHeartbeats()
     leadership.tick()
     recordedInstances.tick(entries.leadership.read()?.since ?? clock.now())
   }
 
+  function noteGranting (): void {
+    const term = leadership.term()
+    if (grantingTerm === term || !leadership.isEstablished() || !allocator.isGranting()) return
+    grantingTerm = term
+    logEvent('grantingBegan', { term, afterMs: Math.round(clock.now() - (entries.leadership.read()?.since ?? clock.now())), recorded: stateEntry.read().instances.length, reported: entries.instances.read().size })
+  }
+
   /** Shares are granted in answers only, so an instance whose shares changed is asked for a heartbeat at once. */
   function requestHeartbeats (): void {
     for (const instance of allocator.takeChanged()) {
--- a/src/decisions/caller-sessions/borrowed-session.ts
+++ b/src/decisions/caller-sessions/borrowed-session.ts
@@ -47,6 +47,7 @@
 /** Prepares to borrow a connection; nothing is sent yet. */
 export function createBorrowedSession ({ calls, loan, terms, holders, onUnreachable }: BorrowedSessionOptions): BorrowedSession {
   let holder: DirectoryInstance | null = null
+  let lastHolder: InstanceId | null = null
   let sentVersion = 0
 
   async function run (run: StatementRun): Promise<Result<DatabaseReply, StatementLoss>> {
@@ -61,6 +62,7 @@
   async function begin (run: StatementRun): Promise<Result<PeerCallAnswer['body'], PeerLoss>> {
     for (const candidate of holders().slice(0, MAX_HOLDERS_ASKED)) {
       holder = candidate
+      lastHolder = candidate.instance
       sentVersion = 0
       const answered = await calls.call(candidate, bodyOf(run, terms), run.limitMs)
       const isDraining = answered.isOk() && answered.value.kind === 'not-run' && answered.value.cause === 'draining'
@@ -104,6 +106,6 @@
     session.ended = true
   }
 
-  const session: BorrowedSession = { database: terms.database, workspace: terms.workspace, isFresh: true, ended: false, run, giveBack, close: () => { giveBack(false) } }
+  const session: BorrowedSession = { database: terms.database, workspace: terms.workspace, isFresh: true, ended: false, heldBy: () => lastHolder, run, giveBack, close: () => { giveBack(false) } }
   return session
 }
--- a/src/decisions/caller-sessions/database-health.ts
+++ b/src/decisions/caller-sessions/database-health.ts
@@ -13,8 +13,11 @@
 const LONGEST_PAUSE_MS = 2000
 /** A statement that waits longer than this without any answer of its database counts as a sign of silence, in milliseconds. */
 const QUIET_STATEMENT_MS = 700
-/** Observations are reported while they are younger than this, in milliseconds. */
-const REPORTED_MS = 3000
+/**
+ * An answer is reported for this long, in milliseconds. In large fleets each instance uses a database rarely: an older answer would
+ * speak for one that has crashed since, for longer than one that goes down and up by turns is down.
+ */
+const REPORTED_MS = 600
 /** A part of recent statements that failed, above which a database counts as failing; callers then get their answers elsewhere. */
 const FAILING_RATIO = 0.15
 /** Weight of a new answer in the share of failures. */
--- a/src/decisions/caller-sessions/pooled-session.ts
+++ b/src/decisions/caller-sessions/pooled-session.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { ConnectionLoss, DatabaseReply, DatabaseRequest, DatabaseSession } from '../../types/database-session.js'
-import type { DatabaseId, WorkspaceId } from '../../types/ids.js'
+import type { DatabaseId, InstanceId, WorkspaceId } from '../../types/ids.js'
 import type { SessionStatement } from '../../types/session-statement.js'
 import type { ValuesView } from './session-values.js'
 import type { StatementLoss, StatementRun } from './statement-runner.js'
@@ -13,6 +13,8 @@
   /** Whether nothing ran on it yet; a new one can't have gone silent unnoticed. */
   isFresh: boolean
   ended: boolean
+  /** @returns the instance that holds the connection; null: this one, or none was found */
+  heldBy: () => InstanceId | null
   /** Runs a statement after setting what the caller's session needs there. */
   run: (run: StatementRun) => Promise<Result<DatabaseReply, StatementLoss>>
   /** Ends the connection; the database rolls an open transaction back. */
@@ -74,5 +76,5 @@
     return await executed
   }
 
-  return { database, workspace, isFresh: true, ended: false, run, close: session.close }
+  return { database, workspace, isFresh: true, ended: false, heldBy: () => null, run, close: session.close }
 }
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -82,6 +82,7 @@
     workspace: grant.workspace,
     manifestVersion: grant.manifestVersion,
     database: held?.pooled.database ?? null,
+    heldBy: held?.pooled.heldBy() ?? null,
     durationMs: Math.round(durationMs),
     ...(refusal === null ? {} : { result: refusal.result, promise: refusal.promise, message: refusal.message, retryAfterMs: refusal.retryAfterMs }),
     ...details
--- a/src/decisions/limits/share-allocator.ts
+++ b/src/decisions/limits/share-allocator.ts
@@ -312,5 +312,5 @@
     forgetClients()
   }
 
-  return { becomeLeader, expectHolders, setResources, report, leave, renew, takeChanged, tick }
+  return { becomeLeader, expectHolders, isGranting: () => clock.now() >= grantsBegin, setResources, report, leave, renew, takeChanged, tick }
 }
--- a/src/decisions/promotion/primary-evidence.ts
+++ b/src/decisions/promotion/primary-evidence.ts
@@ -7,6 +7,9 @@
 /** Heartbeats may miss, so an instance counts while it is not older than this many milliseconds: three heartbeat intervals. */
 const REPORT_AGE_MS = 1500
 
+/** Where few instances use a database, one that is cut off itself might be the only one to report. */
+const LEAST_SILENT_REPORTS = 2
+
 /**
  * - `alive`: instances or announcements prove that the primary answers
  * - `doubtful`: nothing proves it; a status query tells more
@@ -23,7 +26,8 @@
   const announcedMsAgo = member === undefined ? Infinity : view.now - member.registered.announcedAt
   const reports = [...view.instances.values()].map((instance) => silenceOf(view, instance, primary)).filter((silence) => silence !== null)
   const silent = reports.filter((silence) => silence >= times.primarySilentMs).sort((left, right) => left - right)
-  const mostAreSilent = silent.length > 0 && silent.length * 2 > reports.length
+  const isBelieved = silent.length >= Math.min(LEAST_SILENT_REPORTS, view.instances.size)
+  const mostAreSilent = isBelieved && silent.length > 0 && silent.length * 2 > reports.length
   if (mostAreSilent) {
     // The shortest of the silences that make the majority: an announcement since then speaks against a crash.
     const since = silent[0] ?? 0
--- a/src/entry/control-link.ts
+++ b/src/entry/control-link.ts
@@ -1,5 +1,5 @@
 import { dialChannel } from '../adapters/ws/dial-channel.js'
-import type { Hello, MessageChannel } from '../adapters/ws/message-channel.js'
+import type { ChannelPings, Hello, MessageChannel } from '../adapters/ws/message-channel.js'
 import type { TlsFiles } from '../adapters/ws/tls-files.js'
 import type { AttachmentEffect, AttachmentMessage } from '../decisions/freshness/control-attachment.js'
 import { createAnswerDecoder, createHeartbeatEncoder } from '../decisions/freshness/heartbeat-codec.js'
@@ -13,6 +13,8 @@
   hello: Hello
   clusterSecret: string
   tls: TlsFiles | null
+  /** Default: `always`. Heartbeats that stay unanswered tell as much. */
+  pings?: ChannelPings
 }
 
 /** Carries out the effects of the control attachment. */
@@ -25,7 +27,7 @@
 }
 
 export function createControlLink (options: ControlLinkOptions): ControlLink {
-  const { attachment, hello, clusterSecret, tls } = options
+  const { attachment, hello, clusterSecret, tls, pings = 'always' } = options
   let channel: MessageChannel | null = null
   let encodeHeartbeat = createHeartbeatEncoder()
   // Counts dials, so that the result of one that was given up is ignored.
@@ -40,7 +42,7 @@
 
   async function dial (address: Address): Promise<void> {
     const number = ++dialNumber
-    const dialed = await dialChannel({ address, hello, clusterSecret, tls })
+    const dialed = await dialChannel({ address, hello, clusterSecret, tls, pings })
     if (number !== dialNumber || closed) {
       if (dialed.isOk()) dialed.value.close()
       return
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto'
 import { createMetrics } from '../adapters/metrics/create-metrics.js'
+import { repeatAtPace } from '../adapters/timers/repeat-at-pace.js'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { Hello } from '../adapters/ws/message-channel.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
@@ -32,8 +33,12 @@
 import { createPeerService } from './peer-service.js'
 import { createAdmission } from './session-admission.js'
 
-/** Time between ticks of the controllers in milliseconds. */
-const TICK_MS = 25
+/** Time between ticks of the controllers in milliseconds while operations wait or a primary is being changed: half of the wait for a token. */
+const URGENT_TICK_MS = 25
+/** The same at rest: a fifth of the time between heartbeats. */
+const REST_TICK_MS = 100
+/** Ticks stay frequent for this long after the last cause, in milliseconds: a share is asked for again several times meanwhile. */
+const URGENT_FOR_MS = 400
 /** Time between looks at idle connections in milliseconds. */
 const POOL_TICK_MS = 250
 /**
@@ -115,7 +120,10 @@
     limiter,
     calls,
     instances: () => directory.read()?.instances ?? NO_INSTANCES,
-    onDemand: () => { wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' })) }
+    onDemand: () => {
+      ticks.hurry()
+      wantHeartbeat(shareHolder.handle({ kind: 'demand-changed' }))
+    }
   })
   const connectionLimit = ({ group }: DirectoryDatabase): number => endpoints.connectionLimit(group)
   const placement = createConnectionPlacement({ blackboard, connectionLimit })
@@ -134,7 +142,7 @@
     ...options.peers,
     clusterSecret: options.clusterSecret,
     tls: null,
-    pings: 'while-waiting',
+    pings: () => 'while-waiting',
     onChannel: createPeerService({ lending, takeToken: admission.takeToken, logEvent })
   })
 
@@ -165,7 +173,7 @@
       releasedTerms: access.releasedTerms()
     })
   })
-  const link = createControlLink({ attachment, hello: hello('control'), clusterSecret: options.clusterSecret, tls: null })
+  const link = createControlLink({ attachment, pings: 'while-waiting', hello: hello('control'), clusterSecret: options.clusterSecret, tls: null })
 
   function wantHeartbeat (wanted: readonly unknown[]): void {
     if (wanted.length > 0) link.handle({ kind: 'heartbeat-wanted' })
@@ -203,6 +211,7 @@
   }
 
   function tick (): void {
+    if (directory.read()?.groups.some(({ phase }) => phase !== 'serving') === true) ticks.hurry()
     link.tick()
     wantHeartbeat(shareHolder.tick())
     admission.tick()
@@ -224,7 +233,8 @@
     })
   })
   blackboard.reader(sharesEntry).onWrite(() => { setImmediate(admission.tick) })
-  const stopTicks = [repeatByTimer(TICK_MS, tick), repeatByTimer(POOL_TICK_MS, tickPool)]
+  const ticks = repeatAtPace(tick, { restMs: REST_TICK_MS, urgentMs: URGENT_TICK_MS, urgentForMs: URGENT_FOR_MS, now: clock.now, after: callAfter })
+  const stopPoolTicks = repeatByTimer(POOL_TICK_MS, tickPool)
   link.tick()
 
   async function openSession (endpointName: string, keyDigest: string | null): Promise<CallerSession | SessionRefusal> {
@@ -242,7 +252,8 @@
 
   /** Nothing may be admitted afterwards, neither here nor for other instances. */
   function endService (): void {
-    for (const stopTick of stopTicks) stopTick()
+    ticks.stop()
+    stopPoolTicks()
     calls.close()
     pool.close()
     peerServer.close().catch((error: unknown) => { logEvent('failed', { message: String(error) }) })
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -28,6 +28,7 @@
 
   instanceJoined: { event: 301, name: 'instance-joined', level: 'info', meaning: 'The leader received the first heartbeat of an incarnation.' },
   instanceLost: { event: 302, name: 'instance-lost', level: 'warn', meaning: 'An instance sent no heartbeat for one lease.' },
+  grantingBegan: { event: 310, name: 'granting-began', level: 'info', meaning: 'A new leader divides rates from now on; before, instances kept the shares that they had.' },
   instanceLeft: { event: 309, name: 'instance-left', level: 'info', meaning: 'An instance ended as planned and gave back what it held.' },
   freshnessLost: { event: 303, name: 'freshness-lost', level: 'warn', meaning: 'The freshness lease of this instance ran out.' },
   freshnessRegained: { event: 304, name: 'freshness-regained', level: 'info', meaning: 'This instance has a freshness lease again.' },
--- a/src/types/share-allocator.ts
+++ b/src/types/share-allocator.ts
@@ -35,6 +35,8 @@
    * for their leases to run out.
    */
   expectHolders: (instances: ReadonlySet<InstanceId>) => void
+  /** @returns whether shares are granted; until then instances keep what an earlier leader gave them */
+  isGranting: () => boolean
   /** Sets all resources; a smaller size takes effect as old shares are acknowledged or run out. */
   setResources: (resources: ReadonlyMap<ResourceId, ResourceSize>) => void
   /** Takes what a heartbeat reports: acknowledgements, adoption, demand. */
--- /dev/null
+++ b/test/adapters/repeat-at-pace.test.ts
@@ -0,0 +1,35 @@
+import t from 'tap'
+import { repeatAtPace } from '../../src/adapters/timers/repeat-at-pace.js'
+import { createFakeClock } from '../support/fake-clock.js'
+
+t.test('a task at rest runs seldom, and at once more often when something waits', async (t) => {
+  const clock = createFakeClock()
+  let timers: { at: number, callback: () => void }[] = []
+  const after = (durationMs: number, callback: () => void): () => void => {
+    const timer = { at: clock.now() + durationMs, callback }
+    timers.push(timer)
+    return () => { timers = timers.filter((other) => other !== timer) }
+  }
+  function advance (durationMs: number): void {
+    for (let passed = 0; passed < durationMs; passed += 5) {
+      clock.advance(5)
+      const due = timers.filter(({ at }) => at <= clock.now())
+      timers = timers.filter((timer) => !due.includes(timer))
+      for (const { callback } of due) callback()
+    }
+  }
+  let runs = 0
+  const task = repeatAtPace(() => { runs++ }, { restMs: 100, urgentMs: 25, urgentForMs: 60, now: clock.now, after })
+  advance(200)
+  t.equal(runs, 2)
+  advance(50)
+  task.hurry()
+  advance(25)
+  t.equal(runs, 3, 'the pause that was under way is cut short')
+  advance(1000)
+  t.ok(runs <= 3 + 2 + 10, 'it rests again')
+  task.stop()
+  const before = runs
+  advance(1000)
+  t.equal(runs, before)
+})
--- /dev/null
+++ b/test/decisions/caller-sessions/database-health.test.ts
@@ -0,0 +1,25 @@
+import t from 'tap'
+import { createDatabaseHealth } from '../../../src/decisions/caller-sessions/database-health.js'
+import { databaseId } from '../../../src/types/ids.js'
+import { createFakeClock } from '../../support/fake-clock.js'
+
+const D = databaseId('d')
+
+t.test('an answer speaks for a database for a short time only, as it may have crashed since', async (t) => {
+  const clock = createFakeClock()
+  const health = createDatabaseHealth(clock)
+  health.began(D)('answered')
+  clock.advance(500)
+  t.same(health.observations(), [{ database: 'd', status: null, silentForMs: 0 }])
+  clock.advance(200)
+  t.same(health.observations(), [])
+})
+
+t.test('a statement that ended for another reason than the database tells nothing of it', async (t) => {
+  const clock = createFakeClock()
+  const health = createDatabaseHealth(clock)
+  health.began(D)('unjudged')
+  clock.advance(1000)
+  t.same(health.observations(), [])
+  t.equal(health.isUsable(D), true)
+})
--- a/test/decisions/promotion/promotion.test.ts
+++ b/test/decisions/promotion/promotion.test.ts
@@ -157,6 +157,16 @@
   t.equal(commandIn(announced.advance(100)), undefined)
 })
 
+t.test('the silence of a single instance replaces nothing while others are there, that of two does', async (t) => {
+  const harness = createHarness()
+  harness.clock.advance(500)
+  for (const name of ['b', 'c', 'd']) harness.report(name, 0)
+  harness.report('a', 0, harness.silence('p', 450))
+  t.equal(commandIn(harness.advance(100)), undefined)
+  harness.report('b', 0, harness.silence('p', 450))
+  t.match(commandIn(harness.advance(100)), { kind: 'begin-election' })
+})
+
 t.test('no promotion is ordered before every instance released the old term, or its lease ran out', async (t) => {
   const harness = createHarness()
   harness.clock.advance(500)
