control: large messages compressed, an instance stays while bytes arrive, fewer early heartbeats

Change: manifests and directories are compressed once and sent to all; an attachment is kept while bytes of its member arrive; a new directory calls for an early heartbeat only while a primary is being changed.

--- a/src/adapters/ws/dial-channel.ts
+++ b/src/adapters/ws/dial-channel.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { WebSocket } from 'ws'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
@@ -31,6 +32,8 @@
     maxPayload: 64 * 1024 * 1024,
     ...(tls === null ? {} : readTlsFiles(tls))
   })
+  let raw: Socket | null = null
+  socket.on('upgrade', ({ socket: upgraded }) => { raw = upgraded })
   socket.on('error', () => {})
   const inbox = createInbox(socket)
   try {
@@ -39,5 +42,5 @@
     socket.terminate()
     return err(error as Error)
   }
-  return ok(createMessageChannel(socket, inbox, hello, options.pings))
+  return ok(createMessageChannel(socket, inbox, hello, { pings: options.pings, arrivedBytes: () => raw?.bytesRead ?? 0 }))
 }
--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { FLOAT32_OPTIONS, Packr } from 'msgpackr'
 import type { WebSocket } from 'ws'
 import type { Inbox } from './inbox.js'
@@ -12,9 +13,25 @@
 /** Codec of all messages between our processes. */
 export const messageCodec = new Packr({ useRecords: false, useFloat32: FLOAT32_OPTIONS.DECIMAL_FIT, int64AsType: 'number' })
 
-/** Encodes a message that goes over several channels. */
+/** First byte of a compressed message; no message of the codec begins with it. */
+const COMPRESSED = 0xc1
+/** Messages from this size on are compressed when they go over several channels, in bytes: below, it saves less than a packet. */
+const COMPRESS_FROM_BYTES = 2048
+/** Largest message after decompression in bytes, as for plain ones. */
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+/** Encodes a message that goes over several channels. Large ones are compressed, as a slow link would hold up what comes after them. */
 export function packMessage (message: unknown): Buffer {
-  return messageCodec.pack(message)
+  const data = messageCodec.pack(message)
+  return data.length < COMPRESS_FROM_BYTES ? data : Buffer.concat([Buffer.of(COMPRESSED), deflateRawSync(data)])
+}
+
+/**
+ * Decodes a message.
+ * @throws Error when it can't be decoded
+ */
+export function unpackMessage (data: Buffer): unknown {
+  return messageCodec.unpack(data[0] === COMPRESSED ? inflateRawSync(data.subarray(1), { maxOutputLength: MAX_MESSAGE_BYTES }) : data)
 }
 
 /** What a process tells of itself when it connects. */
@@ -34,6 +51,13 @@
  */
 export type ChannelPings = 'always' | 'while-waiting'
 
+export interface ChannelOptions {
+  /** Default: `always`. */
+  pings?: ChannelPings | undefined
+  /** @returns bytes that have arrived on the socket. Default: 0, for channels on which nobody asks. */
+  arrivedBytes?: () => number
+}
+
 /** An authenticated connection that carries whole messages in order. */
 export interface MessageChannel {
   readonly hello: Hello
@@ -49,6 +73,8 @@
   onMessage: (listener: (message: unknown) => void) => void
   /** Calls the listener once when the channel has ended, for whatever reason. */
   onEnd: (listener: () => void) => void
+  /** @returns bytes that have arrived on the socket, those of an incomplete message too */
+  arrivedBytes: () => number
   /** @returns bytes sent and received so far, without framing of lower layers */
   byteCounts: () => { sent: number, received: number }
 }
@@ -57,7 +83,7 @@
  * Wraps an authenticated socket. Pings the peer and ends the socket when nothing comes back,
  * since a connection can go silent for good without being closed.
  */
-export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, when: ChannelPings = 'always'): MessageChannel {
+export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: when = 'always', arrivedBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
   const endListeners: (() => void)[] = []
   let ended = false
   let missedPings = 0
@@ -98,7 +124,7 @@
     received += data.length
     let message: unknown
     try {
-      message = messageCodec.unpack(data)
+      message = unpackMessage(data)
     } catch {
       end()
       return
@@ -128,6 +154,7 @@
       }
       endListeners.push(listener)
     },
+    arrivedBytes,
     byteCounts: () => ({ sent, received })
   }
 }
--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -49,7 +49,7 @@
     const inbox = createInbox(socket)
     try {
       const hello = await acceptHandshake(socket, inbox, options.clusterSecret)
-      options.onChannel(createMessageChannel(socket, inbox, hello, options.pings?.(hello)))
+      options.onChannel(createMessageChannel(socket, inbox, hello, { pings: options.pings?.(hello) }))
     } catch {
       socket.terminate()
     }
--- a/src/decisions/freshness/control-attachment.ts
+++ b/src/decisions/freshness/control-attachment.ts
@@ -30,7 +30,7 @@
   heartbeatGapMs?: number
   /** Duration of the freshness lease in milliseconds. Default 1,500. */
   leaseMs?: number
-  /** A heartbeat unanswered for this long makes the instance move to another member, in milliseconds. Default 400. */
+  /** A heartbeat unanswered for this long, with nothing else arriving either, makes the instance move to another member, in milliseconds. Default 400. */
   answerLimitMs?: number
   /** Pause before the next member is dialed after a failure, in milliseconds. Default 50. */
   redialMs?: number
@@ -48,6 +48,8 @@
   | { kind: 'connected' }
   | { kind: 'disconnected' }
   | { kind: 'received', message: ControlToEntry }
+  /** Bytes arrived, of an incomplete message at least. */
+  | { kind: 'hearing' }
   /** Something changed that the leader should know at once. */
   | { kind: 'heartbeat-wanted' }
   /** Sent when attached, dropped otherwise; the sender repeats it. */
@@ -97,6 +99,7 @@
   let lastSentAt: Milliseconds | null = null
   let heartbeatWanted = false
   let wasFresh = false
+  let heardAt = clock.now()
 
   function moveTo (next: Address, delayMs: number): void {
     state = 'waiting'
@@ -188,7 +191,8 @@
 
   function isOverdue (): boolean {
     const oldest = sentTimes.values().next().value
-    return oldest !== undefined && clock.now() - oldest > answerLimitMs
+    // An answer may wait behind a manifest on a slow link; a new connection would have that sent once more.
+    return oldest !== undefined && clock.now() - Math.max(oldest, heardAt) > answerLimitMs
   }
 
   function tick (): AttachmentEffect[] {
@@ -221,6 +225,9 @@
       case 'received':
         if (state !== 'attached') return []
         return [...receive(message.message), ...tick()]
+      case 'hearing':
+        heardAt = clock.now()
+        return []
       case 'heartbeat-wanted':
         heartbeatWanted = true
         return tick()
--- a/src/entry/control-link.ts
+++ b/src/entry/control-link.ts
@@ -33,6 +33,7 @@
   // Counts dials, so that the result of one that was given up is ignored.
   let dialNumber = 0
   let formerBytes = 0
+  let arrivedBefore = 0
   let closed = false
 
   function countBytes (ended: MessageChannel): void {
@@ -93,7 +94,11 @@
   return {
     handle,
     tick: () => {
-      if (!closed) carryOut(attachment.tick())
+      if (closed) return
+      const arrived = channel?.arrivedBytes() ?? 0
+      if (arrived > arrivedBefore) handle({ kind: 'hearing' })
+      arrivedBefore = arrived
+      carryOut(attachment.tick())
     },
     byteCount: () => {
       const open = channel?.byteCounts() ?? { sent: 0, received: 0 }
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -210,8 +210,12 @@
     silentBefore = silent
   }
 
+  function isChanging (): boolean {
+    return directory.read()?.groups.some(({ phase }) => phase !== 'serving') === true
+  }
+
   function tick (): void {
-    if (directory.read()?.groups.some(({ phase }) => phase !== 'serving') === true) ticks.hurry()
+    if (isChanging()) ticks.hurry()
     link.tick()
     wantHeartbeat(shareHolder.tick())
     admission.tick()
@@ -228,8 +232,8 @@
     calls.keepOnly(directory.read()?.instances ?? NO_INSTANCES)
     setImmediate(() => {
       tickPool()
-      // The leader of a planned change waits for the terms that this instance releases.
-      link.handle({ kind: 'heartbeat-wanted' })
+      // The leader of a change waits for the terms that this instance releases; anything else can wait for the next heartbeat.
+      if (isChanging()) link.handle({ kind: 'heartbeat-wanted' })
     })
   })
   blackboard.reader(sharesEntry).onWrite(() => { setImmediate(admission.tick) })
--- a/test/adapters/ws/message-server.test.ts
+++ b/test/adapters/ws/message-server.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import type { Test } from 'tap'
 import { dialChannel } from '../../../src/adapters/ws/dial-channel.js'
-import type { MessageChannel } from '../../../src/adapters/ws/message-channel.js'
+import { packMessage, type MessageChannel } from '../../../src/adapters/ws/message-channel.js'
 import { listenForMessages } from '../../../src/adapters/ws/message-server.js'
 
 const hello = { purpose: 'peer', name: 'entry-1', address: '127.0.0.1:1' } as const
@@ -29,6 +29,34 @@
   t.same(received, [{ first: 1 }, { second: 2 }])
 })
 
+t.test('a large message for several channels arrives compressed, a small one as it is', async (t) => {
+  const large = { workspaces: Array.from({ length: 200 }, (_, index) => ({ id: `workspace-${index}`, rate: 100, burst: 100 })) }
+  const packed = packMessage(large)
+  t.ok(packed.length < 4000)
+  const address = await startServer(t, (channel) => {
+    channel.sendPacked(packed)
+    channel.sendPacked(packMessage({ small: 1 }))
+  })
+  const channel = (await dialChannel({ address, hello, clusterSecret: 'right secret', tls: null }))._unsafeUnwrap()
+  t.teardown(() => { channel.close() })
+  const received: unknown[] = []
+  await new Promise<void>((resolve) => {
+    channel.onMessage((message) => {
+      received.push(message)
+      if (received.length === 2) resolve()
+    })
+  })
+  t.same(received, [large, { small: 1 }])
+  t.ok(channel.arrivedBytes() >= packed.length)
+})
+
+t.test('a compressed message that is damaged ends the channel', async (t) => {
+  const address = await startServer(t, (channel) => { channel.sendPacked(Buffer.of(0xc1, 1, 2, 3)) })
+  const channel = (await dialChannel({ address, hello, clusterSecret: 'right secret', tls: null }))._unsafeUnwrap()
+  channel.onMessage(() => { t.fail('nothing can be read') })
+  await new Promise<void>((resolve) => { channel.onEnd(resolve) })
+})
+
 t.test('a process without the cluster secret gets no channel', async (t) => {
   let channels = 0
   const address = await startServer(t, () => { channels++ })
--- a/test/decisions/freshness/control-attachment.test.ts
+++ b/test/decisions/freshness/control-attachment.test.ts
@@ -103,6 +103,17 @@
   t.same(parts.attachment.tick(), [{ kind: 'dial', address: members[1] }])
 })
 
+t.test('a member whose answer is still arriving is not left, until nothing more arrives', async (t) => {
+  const parts = setUp()
+  attach(parts)
+  parts.clock.advance(300)
+  parts.attachment.handle({ kind: 'hearing' })
+  parts.clock.advance(300)
+  t.notMatch(parts.attachment.tick(), [{ kind: 'hang-up' }])
+  parts.clock.advance(101)
+  t.same(parts.attachment.tick(), [{ kind: 'hang-up' }])
+})
+
 t.test('a follower sends the instance to the leader that it names', async (t) => {
   const parts = setUp()
   attach(parts)
