--- a/src/decisions/caller-sessions/borrowed-session.ts
+++ b/src/decisions/caller-sessions/borrowed-session.ts
@@ -93,7 +93,7 @@
     if (answer.kind === 'not-run') {
       holder = null
       if (answer.cause === 'unreachable') onUnreachable()
-      return ok({ rows: [], outcome: { kind: 'error', error: 'busy', message: `the holder has no connection (${answer.cause})` }, state: 'idle', position: null })
+      return ok({ rows: [], outcome: { kind: 'error', error: 'not-sent', message: `the holder has no connection (${answer.cause})` }, state: 'idle', position: null })
     }
     // The holder has given the connection back to itself, or closed it.
     if (isLast) holder = null
--- a/src/decisions/caller-sessions/statement-runner.ts
+++ b/src/decisions/caller-sessions/statement-runner.ts
@@ -4,6 +4,7 @@
 import type { ConnectionLoss, DatabaseReply } from '../../types/database-session.js'
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionStatement } from '../../types/session-statement.js'
+import type { StatementEnd } from './database-health.js'
 import type { PooledSession } from './pooled-session.js'
 import type { SessionServices } from './session-services.js'
 import type { ValuesView } from './session-values.js'
@@ -49,12 +50,17 @@
     return err(result.error)
   }
   const reply = result.value
-  const hasFailed = reply.outcome.kind === 'error' && (reply.outcome.error === 'failed' || reply.outcome.error === 'timed-out')
-  ended(hasFailed ? 'failed' : 'answered')
+  ended(endOf(reply))
   if (reply.position !== null) health.learned(pooled.database, reply.position)
   return ok({ reply, sentAt })
 }
 
+function endOf ({ outcome }: DatabaseReply): StatementEnd {
+  if (outcome.kind === 'done') return 'answered'
+  if (outcome.error === 'not-sent') return 'unjudged'
+  return outcome.error === 'failed' || outcome.error === 'timed-out' ? 'failed' : 'answered'
+}
+
 async function withinTime (services: Pick<SessionServices, 'after'>, answer: Promise<Result<DatabaseReply, StatementLoss>>, limitMs: number): Promise<Result<DatabaseReply, StatementLoss>> {
   return await new Promise((resolve) => {
     const cancel = services.after(limitMs, () => { resolve(err({ kind: 'silent', message: `no answer within ${Math.round(limitMs)} ms` })) })
--- a/src/types/database-session.ts
+++ b/src/types/database-session.ts
@@ -16,7 +16,8 @@
 }
 
 /**
- * Why a database refused a statement. The first five mean that it has not run.
+ * Why a statement got no result. The first six mean that it has not run.
+ * - `not-sent`: another instance that holds the connections had none free; the database was not asked
  * - `busy`: no slot and no room in the queue
  * - `unknown-statement`: no prepared statement has that name
  * - `lagging`: the log lacks the position asked for
@@ -26,7 +27,7 @@
  * - `malformed`: the database could not read it, or the transaction has failed
  * - `unrecognized`: a code that is not known here; whether it ran is not known either
  */
-export type DatabaseErrorKind = 'busy' | 'unknown-statement' | 'lagging' | 'read-only' | 'other-database' | 'too-many-connections' | 'failed' | 'timed-out' | 'malformed' | 'unrecognized'
+export type DatabaseErrorKind = 'not-sent' | 'busy' | 'unknown-statement' | 'lagging' | 'read-only' | 'other-database' | 'too-many-connections' | 'failed' | 'timed-out' | 'malformed' | 'unrecognized'
 
 export interface DatabaseReply {
   rows: string[]
--- a/test/decisions/caller-sessions/borrowed-session.test.ts
+++ b/test/decisions/caller-sessions/borrowed-session.test.ts
@@ -70,3 +70,13 @@
   t.equal(promiseOf(await answer), 'nothing-kept')
   t.match(harness.services.health.observations(), [{ database: 'p' }])
 })
+
+// A primary that was dark seemed to answer, since its holders said that they had no connection.
+t.test('a holder without a free connection does not speak for the database', async (t) => {
+  const harness = createSessionHarness('primary', 'borrowed')
+  harness.peers.hasNone = true
+  const answer = harness.open().handle('1', write)
+  await harness.advance(1000)
+  t.equal(promiseOf(await answer), 'nothing-kept')
+  t.same(harness.services.health.observations(), [])
+})
