sessions: a silent primary is tried by single statements

Change: once a primary has been silent for 300 ms, each instance lets one statement through every 150 ms; the others wait for the directory.

--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -73,6 +73,11 @@
       await access.changed(Math.min(leftMs, PRIMARY_WAIT_MS))
       continue
     }
+    if (target.kind === 'primary' && !services.health.mayTry(target.database.database)) {
+      lastMessage = 'the primary gives no answer'
+      await access.changed(Math.min(leftMs, PRIMARY_WAIT_MS))
+      continue
+    }
     const acquired = await pool.acquire(target.database, workspace, endpoint.priority, Math.min(leftMs, CONNECTION_WAIT_MS))
     if (acquired.isErr()) {
       if (need.kind === 'read') need.tried.add(target.database.database)
--- a/src/decisions/caller-sessions/database-health.ts
+++ b/src/decisions/caller-sessions/database-health.ts
@@ -18,6 +18,10 @@
  * speak for one that has crashed since, for longer than one that goes down and up by turns is down.
  */
 const REPORTED_MS = 600
+/** A database that has been silent for this long is tried by single statements only, in milliseconds: several lost tries to connect. */
+const GATED_AFTER_MS = 300
+/** Time between two such statements of one instance, in milliseconds: about what one of them takes to fail. */
+const TRY_GAP_MS = 150
 /** A part of recent statements that failed, above which a database counts as failing; callers then get their answers elsewhere. */
 const FAILING_RATIO = 0.15
 /** Weight of a new answer in the share of failures. */
@@ -33,6 +37,8 @@
   latencyMs: number
   failureShare: number
   outstanding: Map<symbol, Milliseconds>
+  /** When a statement was let through last although the database was silent. */
+  triedAt: number
   position: LogPosition | null
   positionAt: Milliseconds
 }
@@ -51,6 +57,11 @@
   position: (database: DatabaseId) => { position: LogPosition, at: Milliseconds, ageMs: number } | null
   /** @returns whether the database gets new work */
   isUsable: (database: DatabaseId) => boolean
+  /**
+   * Asked before a statement that only this database can run. A silent one gets a single statement from time to time; if all were
+   * sent, those that hold its connections would do nothing else.
+   */
+  mayTry: (database: DatabaseId) => boolean
   /** @returns expected time of a statement in milliseconds, with what this instance has under way there */
   expectedMs: (database: DatabaseId) => number
   observations: () => DatabaseObservation[]
@@ -65,7 +76,7 @@
   function recordOf (database: DatabaseId): DatabaseRecord {
     const known = records.get(database)
     if (known !== undefined) return known
-    const record: DatabaseRecord = { lastAnswerAt: null, failingSince: null, pausedUntil: 0, failuresInRow: 0, latencyMs: FIRST_LATENCY_MS, failureShare: 0, outstanding: new Map(), position: null, positionAt: clock.now() }
+    const record: DatabaseRecord = { lastAnswerAt: null, failingSince: null, pausedUntil: 0, failuresInRow: 0, latencyMs: FIRST_LATENCY_MS, failureShare: 0, outstanding: new Map(), triedAt: -Infinity, position: null, positionAt: clock.now() }
     records.set(database, record)
     return record
   }
@@ -139,6 +150,13 @@
       if (record === undefined) return true
       return clock.now() >= record.pausedUntil && silentForMs(record) < QUIET_STATEMENT_MS
     },
+    mayTry: (database) => {
+      const record = records.get(database)
+      if (record === undefined || silentForMs(record) < GATED_AFTER_MS) return true
+      if (clock.now() - record.triedAt < TRY_GAP_MS) return false
+      record.triedAt = clock.now()
+      return true
+    },
     expectedMs: (database) => {
       const record = recordOf(database)
       return record.latencyMs * (1 + record.outstanding.size)
--- a/test/decisions/caller-sessions/database-health.test.ts
+++ b/test/decisions/caller-sessions/database-health.test.ts
@@ -23,3 +23,16 @@
   t.same(health.observations(), [])
   t.equal(health.isUsable(D), true)
 })
+
+t.test('a silent database is tried by single statements, and by all again once it answers', async (t) => {
+  const clock = createFakeClock()
+  const health = createDatabaseHealth(clock)
+  health.connectionFailed(D)
+  t.same([health.mayTry(D), health.mayTry(D)], [true, true], 'a single failure gates nothing')
+  clock.advance(400)
+  t.same([health.mayTry(D), health.mayTry(D)], [true, false])
+  clock.advance(160)
+  t.same([health.mayTry(D), health.mayTry(D)], [true, false])
+  health.began(D)('answered')
+  t.same([health.mayTry(D), health.mayTry(D)], [true, true])
+})
