--- a/test/decisions/limits/workspace-limiter.test.ts
+++ b/test/decisions/limits/workspace-limiter.test.ts
@@ -83,6 +83,16 @@
   t.same(kindsOf(admit()), ['admitted'])
 })
 
+// After a restart of all processes, callers were told to come back after 162 s.
+t.test('a tiny share does not put callers off for longer than shares take to move, or than the whole rate needs for a token', async (t) => {
+  const fast = createLimiter(100)
+  fast.hold(0.005, 0.1)
+  t.equal(refusalOf([...fast.admit(), ...fast.tickAt(1250)]).retryAfterMs, 1000)
+  const slow = createLimiter(0.2)
+  slow.hold(0.005, 0.1)
+  t.equal(refusalOf(slow.admit()).retryAfterMs, 5000)
+})
+
 t.test('without a share nothing is admitted, and the refusal does not blame the rate', async (t) => {
   const { admit, tickAt } = createLimiter()
   t.same(kindsOf(admit()), ['ask-for-share'])
