--- a/src/decisions/limits/workspace-limiter.ts
+++ b/src/decisions/limits/workspace-limiter.ts
@@ -38,7 +38,7 @@
 /** Retry time for an instance without a share: one heartbeat interval. */
 const noShareRetryMs = 500
 
-/** Longest retry time while the whole rate gives tokens sooner, in milliseconds: several moves of shares by the leader. */
+/** Longest retry time while shares may still move and the whole rate gives tokens sooner, in milliseconds: several moves of shares by the leader. */
 const longestRetryMs = 1000
 
 /** @returns a limiter that reads the shares and the manifest from the blackboard */
@@ -83,7 +83,8 @@
     if (share === undefined) return refused(refuse('notFresh', 'not-run', 'The instance holds no share of the rate of the workspace.', noShareRetryMs))
     if (deadline <= clock.now()) return refused(refuse('deadlineExceeded', 'not-run', 'The deadline passed while the request waited for the rate of its workspace.'))
     const wait = waitForToken(limit, buckets.count(limit.resource), share.amount)
-    const longest = Math.max(longestRetryMs, 1000 / (rates.get(workspace) ?? Infinity))
+    // While the leader has not answered to the demand, the share in force tells little of what will be there.
+    const longest = isSettled(limit, share) ? Infinity : Math.max(longestRetryMs, 1000 / (rates.get(workspace) ?? Infinity))
     const retryAfterMs = Number.isFinite(wait) ? Math.max(1, Math.ceil(Math.min(wait, longest))) : noShareRetryMs
     return refused(refuse('rateExceeded', 'not-run', 'The workspace has used its rate and burst.', retryAfterMs))
   }
