--- a/src/reports/published-schemas.ts
+++ b/src/reports/published-schemas.ts
@@ -3,6 +3,7 @@
 import { entrySettingsSchema } from '../settings/entry-settings.js'
 import { manifestSchema } from '../settings/manifest-schema.js'
 import { operatorSettingsSchema } from '../settings/operator-settings.js'
+import { platformSettingsSchema } from '../settings/platform-settings.js'
 
 /** The part of a JSON Schema that the tables of fields use. */
 export interface JsonSchema {
@@ -39,6 +40,7 @@
   manifest: publish('schemas/manifest.schema.json', 'Manifest', manifestSchema),
   entry: publish('schemas/entry-settings.schema.json', 'Settings of an entry instance', entrySettingsSchema),
   control: publish('schemas/control-settings.schema.json', 'Settings of a control instance', controlSettingsSchema),
+  platform: publish('schemas/platform-settings.schema.json', 'Settings of a process on the users\' platform', platformSettingsSchema),
   operator: publish('schemas/operator-settings.schema.json', 'Settings of the command line', operatorSettingsSchema)
 }
 
--- a/src/reports/settings-page.ts
+++ b/src/reports/settings-page.ts
@@ -12,11 +12,11 @@
 
 /** @returns the text of docs/settings.md */
 export function settingsPage (): string {
-  const { entry, control, operator } = publishedSchemas
+  const { entry, control, platform, operator } = publishedSchemas
   return `# Settings
 
 Generated from the schemas in \`src/settings\` by \`npm run docs:tables\`; a test holds the page to them.
-Settings are JSON files. \`catkinrelay settings check FILE --kind entry\` or \`--kind control\` checks one without starting an instance. Fields that are not listed are refused.
+Settings are JSON files. \`catkinrelay settings check FILE --kind entry\` or \`--kind control\` checks one without starting an instance. Fields that are not listed are refused, except in the settings on the users' platform, which the platform fills in from \`deploy/settings.template.json\`.
 
-${[entry, control, operator].map(section).join('\n')}`
+${[entry, control, platform, operator].map(section).join('\n')}`
 }
