caller-sessions: lenders log statements that are later than their borrowers may wait

Change: a call carries 'sendBy', a time of the lender's clock from which the borrower may have stopped waiting: at its time limit, or when the channel may end because the lender is silent. The borrower derives it from readings of the lender's clock in the handshake and in each answer; a reading is as old as its message, so the limit is never late (assumed drift: 200 ppm). Nothing is refused yet.

--- a/src/adapters/ws/dial-channel.ts
+++ b/src/adapters/ws/dial-channel.ts
@@ -40,10 +40,10 @@
   socket.on('error', () => {})
   const inbox = createInbox(socket)
   try {
-    await offerHandshake(socket, inbox, clusterSecret, hello)
+    const peerTime = await offerHandshake(socket, inbox, clusterSecret, hello)
+    return ok(createMessageChannel(socket, inbox, hello, { pings: options.pings, peerTime, countSocketBytes: () => rawSocket?.bytesRead ?? 0 }))
   } catch (error) {
     socket.terminate()
     return err(error as Error)
   }
-  return ok(createMessageChannel(socket, inbox, hello, { pings: options.pings, countSocketBytes: () => rawSocket?.bytesRead ?? 0 }))
 }
--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { FLOAT32_OPTIONS, Packr } from 'msgpackr'
 import type { WebSocket } from 'ws'
+import type { Milliseconds } from '../../types/clock.js'
 import type { Inbox } from './inbox.js'
 
 /** Time between pings in milliseconds. */
@@ -60,6 +61,8 @@
 export interface ChannelOptions {
   /** When the channel pings its peer. Default: `always`. */
   pings?: PingMode | undefined
+  /** The peer's clock reading from the handshake. Default: null, when the peer sent none. */
+  peerTime?: Milliseconds | null
   /** @returns bytes received on the socket. Default: 0, for channels whose owner does not read this number. */
   countSocketBytes?: () => number
 }
@@ -67,12 +70,16 @@
 /** An authenticated connection that carries whole messages in order. */
 export interface MessageChannel {
   readonly hello: Hello
+  /** The peer's clock reading from the handshake; null when the peer sent none. */
+  readonly peerTime: Milliseconds | null
   /** Sends a message; drops it when the channel has ended. */
   send: (message: unknown) => void
   /** Sends a message that `packMessage` has encoded. */
   sendPacked: (data: Buffer) => void
   /** Sets whether the owner waits for the peer; has an effect only with pings `while-waiting`. */
   setWaiting: (isWaiting: boolean) => void
+  /** @returns time in milliseconds for which the channel stays open even if the peer is silent from now on; call it while the owner waits for the peer */
+  minSilenceMs: () => number
   /** Ends the channel at once. */
   close: () => void
   /** Sets the only listener and delivers to it at once the messages received so far. */
@@ -89,28 +96,29 @@
  * Creates a channel on an authenticated socket. Pings the peer and ends the socket when neither a pong nor a message arrives,
  * since a connection can become silent for good without being closed.
  */
-export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: pingMode = 'always', countSocketBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
+export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: pingMode = 'always', peerTime = null, countSocketBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
   const endListeners: (() => void)[] = []
   let hasEnded = false
   let missedPings = 0
   let sent = 0
   let received = 0
 
-  let pingTimer = pingMode === 'always' ? startPings(PING_INTERVAL_MS) : null
+  const pingIntervalMs = pingMode === 'always' ? PING_INTERVAL_MS : WAITING_PING_INTERVAL_MS
+  let pingTimer = pingMode === 'always' ? startPings() : null
 
-  function startPings (intervalMs: number): NodeJS.Timeout {
+  function startPings (): NodeJS.Timeout {
     return setInterval(() => {
       if (missedPings >= MAX_MISSED_PINGS) return end()
       missedPings++
       socket.ping()
-    }, intervalMs)
+    }, pingIntervalMs)
   }
 
   function setWaiting (isWaiting: boolean): void {
     if (pingMode === 'always' || hasEnded || isWaiting === (pingTimer !== null)) return
     if (pingTimer !== null) clearInterval(pingTimer)
     missedPings = 0
-    pingTimer = isWaiting ? startPings(WAITING_PING_INTERVAL_MS) : null
+    pingTimer = isWaiting ? startPings() : null
   }
 
   function end (): void {
@@ -146,11 +154,14 @@
 
   return {
     hello,
+    peerTime,
     send: (message) => {
       if (!hasEnded) sendPacked(messageCodec.pack(message))
     },
     sendPacked,
     setWaiting,
+    // The next ping may be due at once, so the interval before it does not count.
+    minSilenceMs: () => hasEnded ? 0 : (MAX_MISSED_PINGS - missedPings) * pingIntervalMs,
     close: end,
     onMessage: (listener) => { inbox.deliverTo((data) => { receive(data, listener) }) },
     onEnd: (listener) => {
--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import { WebSocketServer } from 'ws'
 import type { WebSocket } from 'ws'
+import type { Clock } from '../../types/clock.js'
 import { acceptHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
 import type { PingMode, Hello, MessageChannel } from './message-channel.js'
@@ -21,6 +22,8 @@
   tls: TlsFiles | null
   /** @returns when a channel pings its peer; default: `always` */
   pings?: (hello: Hello) => PingMode
+  /** Clock whose reading is sent to each client in the handshake. Default: none is sent. */
+  clock?: Clock
   /** Called for each connection that passed the handshake. */
   onChannel: (channel: MessageChannel) => void
 }
@@ -48,7 +51,7 @@
     socket.on('error', () => { socket.terminate() })
     const inbox = createInbox(socket)
     try {
-      const hello = await acceptHandshake(socket, inbox, options.clusterSecret)
+      const hello = await acceptHandshake(socket, inbox, options.clusterSecret, options.clock ?? null)
       options.onChannel(createMessageChannel(socket, inbox, hello, { pings: options.pings?.(hello) }))
     } catch {
       socket.terminate()
--- a/src/decisions/caller-sessions/borrowed-session.ts
+++ b/src/decisions/caller-sessions/borrowed-session.ts
@@ -79,7 +79,7 @@
   /** @param sentTerms - terms of the loan with its first statement, otherwise null */
   function buildCallBody ({ id, statement, after, values, limitMs, isLast }: StatementRequest, sentTerms: LoanTerms | null): LoanStatementRequest {
     const definition = statement.kind === 'execute' ? values.prepared.get(statement.name) ?? null : null
-    return { kind: 'run-borrowed', loan, terms: sentTerms, id, statement, definition, after, values: buildChangedValues(values), limitMs, isLast }
+    return { kind: 'run-borrowed', loan, terms: sentTerms, id, statement, definition, after, values: buildChangedValues(values), limitMs, sendBy: null, isLast }
   }
 
   /** @returns the session values, or null when the holder already has this version */
--- a/src/decisions/caller-sessions/connection-lending.ts
+++ b/src/decisions/caller-sessions/connection-lending.ts
@@ -15,7 +15,7 @@
 /** Least time that a statement gets, and least time that must be left after the wait for a connection. */
 const MIN_RUN_MS = 5
 
-export interface ConnectionLendingOptions extends Pick<SessionServices, 'after'> {
+export interface ConnectionLendingOptions extends Pick<SessionServices, 'after' | 'logEvent'> {
   clock: Clock
   /** Pool of the connections that this instance holds. */
   pool: SessionPool
@@ -53,7 +53,7 @@
 
 /** Creates the lender, without loans. */
 export function createConnectionLending (options: ConnectionLendingOptions): ConnectionLending {
-  const { clock, pool, health, findDatabase: find, isDraining, after } = options
+  const { clock, pool, health, findDatabase: find, isDraining, after, logEvent } = options
   const loans = new Map<string, Map<number, Loan>>()
 
   function findLoan (borrower: string, number: number): Loan | undefined {
@@ -89,7 +89,14 @@
     return { kind: 'not-run', cause: 'no-connection' }
   }
 
+  /** Logs a statement that the borrower may have stopped waiting for. @param stage - how far the lender was with it */
+  function logIfLate (borrower: string, { id, sendBy }: LoanStatementRequest, stage: 'received' | 'connection-acquired'): void {
+    const lateMs = sendBy === null ? 0 : clock.now() - sendBy
+    if (lateMs > 0) logEvent('loanStatementLate', { borrower, requestId: id, stage, lateMs: Math.round(lateMs) })
+  }
+
   async function run (borrower: string, call: LoanStatementRequest): Promise<LoanAnswer> {
+    logIfLate(borrower, call, 'received')
     const deadline = addTime(clock.now(), Math.max(MIN_RUN_MS, call.limitMs - ANSWER_RESERVE_MS))
     let loan = findLoan(borrower, call.loan)
     if (call.terms !== null) {
@@ -107,6 +114,7 @@
 
   async function runOnLoan (borrower: string, call: LoanStatementRequest, loan: Loan, pooled: PooledSession, deadline: Milliseconds): Promise<LoanAnswer> {
     const { id, statement, after: position, isLast } = call
+    logIfLate(borrower, call, 'connection-acquired')
     const limitMs = Math.max(MIN_RUN_MS, deadline - clock.now())
     const result = await runStatement({ clock, health, pool, after }, pooled, { id, statement, after: position, values: toValuesView(loan.values ?? NO_VALUES, call), limitMs, isLast })
     if (result.isErr()) {
--- a/src/entry/peer-call-handler.ts
+++ b/src/entry/peer-call-handler.ts
@@ -1,9 +1,13 @@
 import type { MessageChannel } from '../adapters/ws/message-channel.js'
 import type { ConnectionLending } from '../decisions/caller-sessions/connection-lending.js'
+import type { Clock } from '../types/clock.js'
+import { milliseconds } from '../types/clock.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { TokenRequest, PeerCallAnswer, PeerCallBody, PeerCallMessage, TokenAnswer } from '../types/session-peer-message.js'
 
 export interface PeerCallHandlerOptions {
+  /** Clock that the borrowers' `sendBy` refers to. */
+  clock: Clock
   lending: ConnectionLending
   /** Takes a token from the share of this instance. */
   takeToken: (call: TokenRequest) => Promise<TokenAnswer>
@@ -11,7 +15,7 @@
 }
 
 /** @returns a function that accepts a channel from another instance and answers its calls: statements on borrowed connections, and requests for rate tokens */
-export function createPeerCallHandler ({ lending, takeToken, logEvent }: PeerCallHandlerOptions): (channel: MessageChannel) => void {
+export function createPeerCallHandler ({ clock, lending, takeToken, logEvent }: PeerCallHandlerOptions): (channel: MessageChannel) => void {
   let channelCount = 0
 
   async function runCall (borrower: string, body: PeerCallBody): Promise<PeerCallAnswer['body']> {
@@ -24,7 +28,7 @@
 
     async function answerCall ({ call, body }: Extract<PeerCallMessage, { kind: 'call' }>): Promise<void> {
       const answerBody = await runCall(borrower, body)
-      channel.send({ kind: 'call-answer', call, body: answerBody } satisfies PeerCallAnswer)
+      channel.send({ kind: 'call-answer', call, now: milliseconds(Math.floor(clock.now())), body: answerBody } satisfies PeerCallAnswer)
       // The channel sends keep-alives while the borrower has loans, so that a borrower that is cut off keeps no transaction open.
       channel.setWaiting(lending.countLoansOf(borrower) > 0)
     }
--- a/src/entry/peer-calls.ts
+++ b/src/entry/peer-calls.ts
@@ -3,6 +3,8 @@
 import { dialChannel } from '../adapters/ws/dial-channel.js'
 import type { Hello, MessageChannel } from '../adapters/ws/message-channel.js'
 import type { PeerCalls, PeerCallFailure } from '../decisions/caller-sessions/borrowed-session.js'
+import { createPeerClock } from '../decisions/membership/peer-clock.js'
+import type { PeerClock } from '../decisions/membership/peer-clock.js'
 import type { Clock, Milliseconds } from '../types/clock.js'
 import { addTime, milliseconds } from '../types/clock.js'
 import type { DirectoryInstance } from '../types/directory.js'
@@ -17,6 +19,8 @@
 
 export interface PeerCallsOptions {
   clock: Clock
+  /** A clock without forward steps, to which the clocks of other instances are compared. */
+  steadyClock: Clock
   hello: Hello
   clusterSecret: string
   logEvent: LogEvent
@@ -36,12 +40,14 @@
   address: Address
   channel: MessageChannel | null
   dialing: Promise<void> | null
+  /** Clock of the instance that the channel reaches. */
+  peerClock: PeerClock
   /** Calls in flight, by their number. */
   open: Map<number, (answer: Result<PeerCallAnswer['body'], PeerCallFailure>) => void>
 }
 
 /** @returns calls without open channels */
-export function createPeerCalls ({ clock, hello, clusterSecret, logEvent, after }: PeerCallsOptions): PeerCallChannels {
+export function createPeerCalls ({ clock, steadyClock, hello, clusterSecret, logEvent, after }: PeerCallsOptions): PeerCallChannels {
   const links = new Map<InstanceId, PeerLink>()
   const avoidedUntil = new Map<InstanceId, Milliseconds>()
   let callCount = 0
@@ -54,7 +60,7 @@
     const known = links.get(peer.instance)
     if (known !== undefined && known.address === peer.peerAddress) return known
     if (known !== undefined) removeLink(peer.instance, known)
-    const link: PeerLink = { address: peer.peerAddress, channel: null, dialing: null, open: new Map() }
+    const link: PeerLink = { address: peer.peerAddress, channel: null, dialing: null, peerClock: createPeerClock(steadyClock), open: new Map() }
     links.set(peer.instance, link)
     return link
   }
@@ -66,8 +72,12 @@
     const channel = dialed.value
     if (links.get(peer) !== link) return channel.close()
     link.channel = channel
+    // The instance may have been restarted since the last channel.
+    link.peerClock = createPeerClock(steadyClock)
+    if (channel.peerTime !== null) link.peerClock.record(channel.peerTime)
     channel.onMessage((message) => {
-      const { call, body } = message as PeerCallAnswer
+      const { call, now, body } = message as PeerCallAnswer
+      link.peerClock.record(now)
       settle(link, call, ok(body))
     })
     channel.onEnd(() => { handleChannelEnd(peer, link) })
@@ -115,7 +125,8 @@
         resolve(answer)
       })
       channel.setWaiting(true)
-      const sentBody = body.kind === 'run-borrowed' ? { ...body, limitMs: Math.round(remainingMs) } : body
+      const sendBy = link.peerClock.timeAfter(Math.min(remainingMs, channel.minSilenceMs()))
+      const sentBody = body.kind === 'run-borrowed' ? { ...body, limitMs: Math.round(remainingMs), sendBy } : body
       channel.send({ kind: 'call', call: callNumber, body: sentBody } satisfies PeerCallMessage)
     })
   }
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -1,5 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { createMetrics } from '../adapters/metrics/create-metrics.js'
+import { monotonicClock } from '../adapters/timers/monotonic-clock.js'
+import { createPauseDetector } from '../adapters/timers/pause-detector.js'
 import { repeatAtPace } from '../adapters/timers/repeat-at-pace.js'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { Hello } from '../adapters/ws/message-channel.js'
@@ -114,7 +116,7 @@
   const limiter = createWorkspaceLimiter({ clock, blackboard, buckets, maxWaitMs: MAX_TOKEN_WAIT_MS })
   const shareHolder = createShareHolder({ clock, blackboard, buckets, demandSources: [limiter.demand], startedAt: PROCESS_STARTED_AT })
   const buildHello = (purpose: Hello['purpose']): Hello => ({ purpose, name: instance, address: ownAddress })
-  const calls = createPeerCalls({ clock, hello: buildHello('peer'), clusterSecret: options.clusterSecret, logEvent, after: callAfter })
+  const calls = createPeerCalls({ clock, steadyClock: monotonicClock, hello: buildHello('peer'), clusterSecret: options.clusterSecret, logEvent, after: callAfter })
   const admission = createSessionAdmission({
     clock,
     instance,
@@ -138,13 +140,14 @@
     after: callAfter
   })
   const pool = createSharedPool({ instance, own: ownPool, placement, calls, health })
-  const lending = createConnectionLending({ clock, pool: ownPool, health, findDatabase: access.findDatabase, isDraining: draining.read, after: callAfter })
+  const lending = createConnectionLending({ clock, pool: ownPool, health, findDatabase: access.findDatabase, isDraining: draining.read, after: callAfter, logEvent })
   const peerServer = await listenForMessages({
     ...options.peers,
     clusterSecret: options.clusterSecret,
     tls: null,
     pings: () => 'while-waiting',
-    onChannel: createPeerCallHandler({ lending, takeToken: admission.takeToken, logEvent })
+    clock,
+    onChannel: createPeerCallHandler({ clock, lending, takeToken: admission.takeToken, logEvent })
   })
 
   const attachment = createControlAttachment({
@@ -215,7 +218,10 @@
     return directory.read()?.groups.some(({ phase }) => phase !== 'serving') === true
   }
 
+  const pauses = createPauseDetector(clock, (durationMs) => { logEvent('eventLoopPaused', { durationMs: Math.round(durationMs) }) })
+
   function tick (): void {
+    pauses.observe()
     if (isAnyPrimaryChanging()) ticks.markUrgent()
     link.tick()
     requestHeartbeatFor(shareHolder.tick())
--- a/src/types/session-peer-message.ts
+++ b/src/types/session-peer-message.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from './clock.js'
 import type { DatabaseReply } from './database-session.js'
 import type { DatabaseId, WorkspaceId } from './ids.js'
 import type { LogPosition } from './log-position.js'
@@ -38,6 +39,8 @@
   values: SentValues | null
   /** Time for the answer in milliseconds. */
   limitMs: number
+  /** Time on the lender's clock from which the borrower may have stopped waiting; null: the borrower has no reading of that clock. Set when the call is sent. */
+  sendBy: Milliseconds | null
   /** Whether the loan ends with the answer. */
   isLast: boolean
 }
@@ -63,6 +66,8 @@
 export interface PeerCallAnswer {
   kind: 'call-answer'
   call: number
+  /** Reading of the lender's clock. */
+  now: Milliseconds
   body: LoanAnswer | TokenAnswer
 }
 
