test: a statement that the network held reaches no database (known red)

Evidence: over real channels and a proxy that holds bytes, as a network does during a partition, the borrower got 'lost' after the channel ended, and when the proxy let go of the bytes the lender logged 311 (stage 'received') and ran the statement: the database ran q1, q2, q3, expected q1, q3.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -7,8 +7,10 @@
  * - `slow`: forwards all bytes after a delay
  * - `silent`: drops all bytes and keeps connections open
  * - `deaf`: forwards bytes from clients and drops bytes from the server
+ * - `hold`: keeps all bytes and the ends of connections, and forwards them in order after the next change of the mode, as a network
+ *   does with unconfirmed packets after a partition
  */
-export type ProxyMode = 'forward' | 'slow' | 'silent' | 'deaf'
+export type ProxyMode = 'forward' | 'slow' | 'silent' | 'deaf' | 'hold'
 
 const SLOW_DELAY_MS = 120
 
@@ -24,10 +26,16 @@
 /** Starts a proxy on a free port of `host`. It opens a connection to the target for each connection that it accepts. */
 export async function startLoopbackProxy (host: string, target: { host: string, port: number }): Promise<LoopbackProxy> {
   const pairs = new Set<[Socket, Socket]>()
+  let currentMode: ProxyMode = 'forward'
+  let held: (() => void)[] = []
 
   function relay (from: Socket, to: Socket, isAnswer: boolean): void {
     from.on('data', (bytes) => {
       const { mode } = proxy
+      if (mode === 'hold') {
+        held.push(() => { to.write(bytes) })
+        return
+      }
       if (mode === 'silent' || (mode === 'deaf' && isAnswer)) return
       if (mode === 'slow') setTimeout(() => { to.write(bytes) }, SLOW_DELAY_MS)
       else to.write(bytes)
@@ -44,6 +52,7 @@
       socket.on('error', () => {})
       socket.on('close', () => {
         pairs.delete(pair)
+        if (proxy.mode === 'hold') held.push(() => { other.destroySoon() })
         // While the proxy drops bytes, it also hides from each end that the other one has closed the connection.
         if (proxy.mode === 'forward' || proxy.mode === 'slow') other.destroy()
       })
@@ -61,7 +70,14 @@
 
   const proxy: LoopbackProxy = {
     address: `${host}:${typeof listening === 'object' && listening !== null ? listening.port : 0}`,
-    mode: 'forward',
+    get mode () { return currentMode },
+    set mode (next) {
+      currentMode = next
+      if (next === 'hold') return
+      const released = held
+      held = []
+      for (const forward of released) forward()
+    },
     reset,
     close: () => {
       server.close()
