caller-sessions: a lender does not run a statement that its borrower may have stopped waiting for

Of the same class, seen in tests only: a single write that runs after 'unknown', a commit that arrives late. Cause: a call carried its time limit as a duration, which the lender counted from the moment it read the call. A call that the network held during a cut, or that lay in the inbox of a paused lender, was as young as a new one, whatever its borrower had done meanwhile. The lender likewise sent a statement after any wait for the confirmation of session values. Fix: the lender refuses a call whose 'sendBy' has passed, and every own connection checks the limit last, right before the statement is written. 'sendBy' is a time of the lender's clock which cannot be later than the moment at which the borrower gives up, either by its time limit or because the channel ends for silence, so it holds for held bytes, paused lenders, suspended borrowers and slow confirmations alike. A refused call has not run, so another holder gets it. Ruled out: ending channels by a reset alone; what already lies in the inbox of a paused lender is still read.

--- a/src/decisions/caller-sessions/connection-lending.ts
+++ b/src/decisions/caller-sessions/connection-lending.ts
@@ -89,17 +89,19 @@
     return { kind: 'not-run', cause: 'no-connection' }
   }
 
-  /** Logs a statement that the borrower may have stopped waiting for. @param stage - how far the lender was with it */
-  function logIfLate (borrower: string, { id, sendBy }: LoanStatementRequest, stage: 'received' | 'connection-acquired'): void {
-    const lateMs = sendBy === null ? 0 : clock.now() - sendBy
-    if (lateMs > 0) logEvent('loanStatementLate', { borrower, requestId: id, stage, lateMs: Math.round(lateMs) })
+  /** Logs a statement that is not sent to the database, since the borrower may have stopped waiting. @param stage - how far the lender was with it */
+  function logLateStatement (borrower: string, { id }: LoanStatementRequest, sendBy: Milliseconds, stage: 'received' | 'values-applied'): void {
+    logEvent('loanStatementLate', { borrower, requestId: id, stage, lateMs: Math.round(clock.now() - sendBy) })
   }
 
   async function run (borrower: string, call: LoanStatementRequest): Promise<LoanAnswer> {
-    logIfLate(borrower, call, 'received')
     const deadline = addTime(clock.now(), Math.max(MIN_RUN_MS, call.limitMs - ANSWER_RESERVE_MS))
     let loan = findLoan(borrower, call.loan)
     if (call.terms !== null) {
+      if (call.sendBy !== null && clock.now() >= call.sendBy) {
+        logLateStatement(borrower, call, call.sendBy, 'received')
+        return { kind: 'not-run', cause: 'expired' }
+      }
       loan = addLoan(borrower, call.loan)
       const notRun = await acquireForLoan(loan, call.terms, deadline)
       if (notRun !== null) {
@@ -114,14 +116,15 @@
 
   async function runOnLoan (borrower: string, call: LoanStatementRequest, loan: Loan, pooled: PooledSession, deadline: Milliseconds): Promise<LoanAnswer> {
     const { id, statement, after: position, isLast } = call
-    logIfLate(borrower, call, 'connection-acquired')
     const limitMs = Math.max(MIN_RUN_MS, deadline - clock.now())
-    const result = await runStatement({ clock, health, pool, after }, pooled, { id, statement, after: position, values: toValuesView(loan.values ?? NO_VALUES, call), limitMs, isLast })
+    const sendBy = call.sendBy ?? deadline
+    const result = await runStatement({ clock, health, pool, after }, pooled, { id, statement, after: position, values: toValuesView(loan.values ?? NO_VALUES, call), limitMs, sendBy, isLast })
     if (result.isErr()) {
       removeLoan(borrower, call.loan)
       return { kind: 'loss', message: result.error.message, silent: result.error.kind === 'silent' }
     }
     const { reply } = result.value
+    if (reply.outcome.kind === 'error' && reply.outcome.error === 'not-sent') logLateStatement(borrower, call, sendBy, 'values-applied')
     if (isLast) finishLoan(borrower, call.loan, pooled, reply.state === 'idle')
     return { kind: 'reply', reply }
   }
--- a/src/decisions/caller-sessions/pooled-session.ts
+++ b/src/decisions/caller-sessions/pooled-session.ts
@@ -1,8 +1,10 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
+import type { Clock } from '../../types/clock.js'
+import { addTime } from '../../types/clock.js'
 import type { ConnectionLoss, DatabaseReply, DatabaseRequest, DatabaseSession } from '../../types/database-session.js'
 import type { DatabaseId, InstanceId, WorkspaceId } from '../../types/ids.js'
-import type { SessionStatement } from '../../types/session-statement.js'
+import type { SessionState, SessionStatement } from '../../types/session-statement.js'
 import type { ValuesView } from './session-values.js'
 import type { StatementLoss, StatementRequest } from './statement-runner.js'
 
@@ -23,18 +25,29 @@
 }
 
 /** Wraps a connection that this instance has just opened. */
-export function createOwnSession (session: DatabaseSession, database: DatabaseId, workspace: WorkspaceId): PooledSession {
+export function createOwnSession (session: DatabaseSession, database: DatabaseId, workspace: WorkspaceId, clock: Clock): PooledSession {
   /** Caller session whose values the connection has, and their version; null when it has none. */
   let appliedValues: { owner: string, version: number } | null = null
   /** Names of the statements prepared on the connection, by their definition. */
   const prepared = new Map<string, string>()
   let lastPreparedNumber = 0
+  let state: SessionState = 'idle'
 
   async function run (request: StatementRequest): Promise<Result<DatabaseReply, ConnectionLoss>> {
+    const sendBy = request.sendBy ?? addTime(clock.now(), request.limitMs)
     const applied = await applyValues(request.values)
     if (applied.isErr()) return err(applied.error)
-    if (request.statement.kind !== 'execute') return await session.run({ id: request.id, statement: request.statement, after: request.after })
-    return await executePrepared(request, request.statement)
+    // Nothing may wait between this check and the write to the database.
+    if (clock.now() >= sendBy) return ok(buildUnsentReply())
+    const result = request.statement.kind === 'execute'
+      ? await executePrepared(request, request.statement)
+      : await session.run({ id: request.id, statement: request.statement, after: request.after })
+    if (result.isOk()) state = result.value.state
+    return result
+  }
+
+  function buildUnsentReply (): DatabaseReply {
+    return { rows: [], outcome: { kind: 'error', error: 'not-sent', message: 'the statement was not sent, since its time limit had passed' }, state, position: null }
   }
 
   /** Makes the values of the connection equal to those of the caller's session. No statement may run before the database has confirmed them. */
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -137,7 +137,7 @@
     pool.opening.set(workspace, (pool.opening.get(workspace) ?? 1) - 1)
     if (opened.isErr()) return handleOpenFailure(database, pool, opened.error.kind)
     health.recordConnectionOpened(database.database)
-    const pooled = createOwnSession(opened.value, database.database, workspace)
+    const pooled = createOwnSession(opened.value, database.database, workspace, clock)
     pool.all.add(pooled)
     opened.value.onEnd(() => {
       pooled.ended = true
--- a/src/decisions/caller-sessions/statement-runner.ts
+++ b/src/decisions/caller-sessions/statement-runner.ts
@@ -27,6 +27,8 @@
   values: ValuesView
   /** Time limit for the answer in milliseconds. */
   limitMs: number
+  /** Time from which the statement must not be sent to a database, since its sender may have stopped waiting. Default: the end of `limitMs`. */
+  sendBy?: Milliseconds
   /** Whether the session releases the connection after the answer, if the connection is then outside of any transaction. */
   isLast: boolean
 }
--- a/src/entry/peer-calls.ts
+++ b/src/entry/peer-calls.ts
@@ -77,7 +77,7 @@
     if (channel.peerTime !== null) link.peerClock.record(channel.peerTime)
     channel.onMessage((message) => {
       const { call, now, body } = message as PeerCallAnswer
-      link.peerClock.record(now)
+      if (now !== undefined) link.peerClock.record(now)
       settle(link, call, ok(body))
     })
     channel.onEnd(() => { handleChannelEnd(peer, link) })
--- a/src/types/database-session.ts
+++ b/src/types/database-session.ts
@@ -17,7 +17,7 @@
 
 /**
  * Why a statement has no result. The first seven mean that the database has not run the statement.
- * - `not-sent`: the lender of the connection had none free, so the statement reached no database
+ * - `not-sent`: the statement reached no database, since the lender of the connection had none free or the time limit had passed
  * - `busy`: the database has no free slot and no room in its queue
  * - `unknown-statement`: no prepared statement has that name
  * - `lagging`: the log of the database lacks the required position
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -35,7 +35,7 @@
   controlChanged: { event: 305, name: 'control-changed', level: 'info', meaning: 'An answer was overdue, so this instance switched to another control member.' },
   peerConnectionLost: { event: 306, name: 'peer-connection-lost', level: 'warn', meaning: 'The connection to another process of the system ended or became silent.' },
   peerCallFailed: { event: 308, name: 'peer-call-failed', level: 'error', meaning: 'An unexpected error prevented the answer to a call of another instance.' },
-  loanStatementLate: { event: 311, name: 'loan-statement-late', level: 'warn', meaning: 'A statement for a lent connection is later than its borrower may wait; gives the borrower, how late it is, and how far this instance was with it.' },
+  loanStatementLate: { event: 311, name: 'loan-statement-late', level: 'warn', meaning: 'A statement for a lent connection was not sent to the database, since its borrower may have stopped waiting; gives the borrower, how late it is, and how far this instance was with it.' },
   eventLoopPaused: { event: 312, name: 'event-loop-paused', level: 'warn', meaning: 'This process stood still: it was paused, suspended, or busy for too long.' },
   holdersChanged: { event: 307, name: 'holders-changed', level: 'info', meaning: 'The connection holders of a group changed.' },
 
--- a/src/types/session-peer-message.ts
+++ b/src/types/session-peer-message.ts
@@ -66,8 +66,8 @@
 export interface PeerCallAnswer {
   kind: 'call-answer'
   call: number
-  /** Reading of the lender's clock. */
-  now: Milliseconds
+  /** Reading of the lender's clock; missing in answers of earlier versions. */
+  now?: Milliseconds
   body: LoanAnswer | TokenAnswer
 }
 
@@ -77,7 +77,7 @@
  */
 export type LoanAnswer =
   | { kind: 'reply', reply: DatabaseReply }
-  | { kind: 'not-run', cause: 'no-connection' | 'unreachable' | 'draining' }
+  | { kind: 'not-run', cause: 'no-connection' | 'unreachable' | 'draining' | 'expired' }
   | { kind: 'loss', message: string, silent: boolean }
 
 export interface TokenAnswer {
