caller-sessions: a borrower that stops waiting ends the loan

What callers saw: nothing directly; a connection stayed lent, with an open transaction, until the channel between two instances ended, and a group had one connection less for its callers each time. Cause: after a call without an answer the borrower marked its session as ended, and a session that has ended sends no 'end-loan'. Where the channel stayed open, since the lender was only slow, the lender kept the loan of a 'begin' or of a statement inside a transaction. Evidence: 'a connection is no longer lent after its transaction began too late for the borrower', two rows of the table (a later statement of a transaction) and the property over borrowed connections failed on the commit before.

--- a/src/decisions/caller-sessions/borrowed-session.ts
+++ b/src/decisions/caller-sessions/borrowed-session.ts
@@ -56,6 +56,8 @@
   async function run (request: StatementRequest): Promise<Result<DatabaseReply, StatementLoss>> {
     const answered = holder === null ? await startLoan(request) : await calls.call(holder, buildCallBody(request, null), request.limitMs)
     if (answered.isErr()) {
+      // The channel may still be open, and the holder would then keep the connection for this loan.
+      if (holder !== null) calls.endLoan(holder, loan, false)
       session.ended = true
       return err({ kind: 'holder-lost', message: `the instance that holds the connection did not answer (${answered.error})` })
     }
--- a/test/decisions/caller-sessions/late-statements.test.ts
+++ b/test/decisions/caller-sessions/late-statements.test.ts
@@ -48,6 +48,7 @@
       t.equal(await answered, promise)
       await harness.advance(20_000)
       t.same(late, [])
+      t.equal(harness.lending.count(), 0, 'no connection stays lent')
     })
   }
 }
@@ -64,6 +65,17 @@
   t.match(harness.events, [{ name: 'loanStatementLate', details: { requestId: '1', stage: 'values-applied' } }])
 })
 
+t.test('a connection is no longer lent after its transaction began too late for the borrower', async (t) => {
+  const harness = createSessionHarness('primary', 'borrowed')
+  const session = harness.open()
+  await session.handle('0', begin)
+  harness.peers.answerDelayMs = 1500
+  const answered = session.handle('1', write)
+  await harness.advance(5000)
+  t.equal(promiseOf(await answered), 'nothing-kept')
+  t.equal(harness.lending.count(), 0)
+})
+
 const delays = fc.record({ callDelayMs: fc.constantFrom(0, 0, 50, 390, 410, 900, 5000), answerDelayMs: fc.constantFrom(0, 0, 30, 700, 3000), databaseDelayMs: fc.constantFrom(0, 0, 40, 300, 800), isSilent: fc.boolean() })
 const script = fc.array(fc.tuple(fc.constantFrom<SessionStatement>(read, write, begin, { kind: 'commit' }, { kind: 'rollback' }, { kind: 'set', name: 'n', value: 'v' }), delays), { minLength: 1, maxLength: 12 })
 
@@ -82,7 +94,7 @@
         await answered
       }
       await harness.advance(20_000)
-      return late.length === 0
+      return late.length === 0 && harness.lending.count() === 0
     }), { seed: SEED, numRuns: 40 })
   })
 }
