adapters: a connection to a database is reset when a statement on it has no answer

Cause: a connection whose statement got no answer was closed. After a close the operating system goes on sending what the peer has not confirmed, so a statement caught in a partition runs when the partition heals, and the end of the connection comes behind it. Fix: such a connection ends with a TCP reset, after which nothing of it is sent. Idle connections close in order as before. What remains: a process that is killed can not reset its connections; a database that was paused runs what it had received.

--- a/src/adapters/postgres/postgres-client.ts
+++ b/src/adapters/postgres/postgres-client.ts
@@ -3,6 +3,7 @@
 import pg from 'pg'
 import type { DatabaseFailure } from '../../types/database-connection.js'
 import type { Address } from '../../types/ids.js'
+import { resetSocket } from '../sockets/reset-socket.js'
 import type { ResolvedPostgresOptions } from './postgres-options.js'
 import { StatementBatch, type BatchOutcome, type BatchStatement } from './statement-batch.js'
 
@@ -10,7 +11,7 @@
 export interface PostgresClient {
   /** Runs the statements in one round trip; after an error the database skips the rest. */
   run: (statements: readonly BatchStatement[]) => Promise<BatchOutcome>
-  /** Ends the socket at once; a pending batch resolves as lost. */
+  /** Ends the socket at once; a pending batch resolves as lost, and what the database has not received of it is discarded. */
   destroy: () => void
   /** Calls the listener once when the connection ends for any reason. */
   onEnd: (listener: () => void) => void
@@ -48,15 +49,25 @@
     return err(toDatabaseFailure(error))
   }
 
+  let pendingCount = 0
+
   async function run (statements: readonly BatchStatement[]): Promise<BatchOutcome> {
     const batch = new StatementBatch(statements)
+    pendingCount++
     client.query(batch)
-    return await batch.outcome
+    const outcome = await batch.outcome
+    pendingCount--
+    return outcome
+  }
+
+  function destroy (): void {
+    if (pendingCount > 0) resetSocket(socket)
+    else socket.destroy()
   }
 
   return ok({
     run,
-    destroy: () => { socket.destroy() },
+    destroy,
     onEnd: (listener) => { endListeners.push(listener) }
   })
 }
