caller-sessions: a loan gets the values of a shortened history

What callers saw: a statement inside a transaction could run with session values that the caller had replaced, after more than 256 changes within one session. Cause: the borrower compared only the version of the values with what it had sent in the loan. A history that is shortened gets a new owner and can have the same version again, so nothing was sent. Evidence: 'a loan gets the new values after their history was shortened to the length that the holder knows' failed on (v0 in place of last and v24). Fix: owner and version are compared, as pooled-session.ts does.

--- a/src/decisions/caller-sessions/borrowed-session.ts
+++ b/src/decisions/caller-sessions/borrowed-session.ts
@@ -51,7 +51,8 @@
 export function createBorrowedSession ({ calls, loan, terms, holders, onUnreachable }: BorrowedSessionOptions): BorrowedSession {
   let holder: DirectoryInstance | null = null
   let lastHolder: InstanceId | null = null
-  let lastSentVersion = 0
+  /** Values that the holder has; null when it has none. */
+  let sentValues: { owner: string, version: number } | null = null
 
   async function run (request: StatementRequest): Promise<Result<DatabaseReply, StatementLoss>> {
     const answered = holder === null ? await startLoan(request) : await calls.call(holder, buildCallBody(request, null), request.limitMs)
@@ -68,7 +69,7 @@
     for (const candidate of holders().slice(0, MAX_HOLDER_ATTEMPTS)) {
       holder = candidate
       lastHolder = candidate.instance
-      lastSentVersion = 0
+      sentValues = null
       const answered = await calls.call(candidate, buildCallBody(request, terms), request.limitMs)
       const isDraining = answered.isOk() && answered.value.kind === 'not-run' && answered.value.cause === 'draining'
       if (isDraining) calls.avoid(candidate.instance)
@@ -86,10 +87,13 @@
 
   /** @returns the session values, or null when the holder already has this version */
   function buildChangedValues (values: ValuesView): SentValues | null {
+    const { owner } = values
     const version = values.version()
-    if (version === lastSentVersion) return null
-    lastSentVersion = version
-    return { owner: values.owner, version, changes: [...values.since(0)] }
+    // A shortened history has another owner, and may have the same length as a part of the former one.
+    const isKnown = sentValues === null ? version === 0 : sentValues.owner === owner && sentValues.version === version
+    if (isKnown) return null
+    sentValues = { owner, version }
+    return { owner, version, changes: [...values.since(0)] }
   }
 
   function handleLoanAnswer (answer: LoanAnswer, isLast: boolean): Result<DatabaseReply, StatementLoss> {
--- a/test/decisions/caller-sessions/borrowed-session.test.ts
+++ b/test/decisions/caller-sessions/borrowed-session.test.ts
@@ -82,3 +82,21 @@
   t.equal(promiseOf(await answer), 'nothing-kept')
   t.same(harness.services.health.observations(), [])
 })
+
+t.test('a loan gets the new values after their history was shortened to the length that the holder knows', async (t) => {
+  const harness = createSessionHarness('primary', 'borrowed')
+  const session = harness.open()
+  const nameCount = 10
+  const set = async (round: number): Promise<void> => {
+    for (let name = 0; name < nameCount; name++) await session.handle('0', { kind: 'set', name: `n${name}`, value: `v${round}` })
+  }
+  await set(0)
+  await session.handle('1', { kind: 'begin', readOnly: false })
+  await session.handle('2', write)
+  // The 257th change shortens the history to one change for each name, which is the version that the loan has.
+  for (let round = 1; round <= 24; round++) await set(round)
+  for (let name = 0; name < 7; name++) await session.handle('0', { kind: 'set', name: `n${name}`, value: 'last' })
+  await session.handle('3', write)
+  const settings = harness.database('p').received.flatMap(({ statement }) => statement.kind === 'set' ? [`${statement.name}=${statement.value}`] : [])
+  t.same(settings.slice(-nameCount).sort(), Array.from({ length: nameCount }, (_, name) => `n${name}=${name < 7 ? 'last' : 'v24'}`))
+})
