caller-sessions: a connection records whose values it got before it waits for their confirmation

What callers saw: nothing observed; after a rollback in the background, a statement could run with session values that the caller had replaced. Cause: the owner of the history was read after the replies, when the caller may have changed values and the history may have been shortened. The connection was then taken to hold the new history at the former version. Fix: owner and version are read together, before the wait.

--- a/src/decisions/caller-sessions/pooled-session.ts
+++ b/src/decisions/caller-sessions/pooled-session.ts
@@ -52,10 +52,12 @@
 
   /** Makes the values of the connection equal to those of the caller's session. No statement may run before the database has confirmed them. */
   async function applyValues (values: ValuesView): Promise<Result<void, ConnectionLoss>> {
+    // Read before the wait for the replies, during which the session may change its values.
+    const { owner } = values
     const version = values.version()
-    const isUpToDate = appliedValues === null ? version === 0 : appliedValues.owner === values.owner && appliedValues.version === version
+    const isUpToDate = appliedValues === null ? version === 0 : appliedValues.owner === owner && appliedValues.version === version
     if (isUpToDate) return ok(undefined)
-    const isSameSession = appliedValues?.owner === values.owner
+    const isSameSession = appliedValues?.owner === owner
     const requests: DatabaseRequest[] = []
     if (appliedValues !== null && !isSameSession) {
       requests.push({ id: null, statement: { kind: 'reset' }, after: null })
@@ -68,7 +70,7 @@
       if (reply.isErr()) return err(reply.error)
       if (reply.value.outcome.kind === 'error') return err({ kind: 'lost', message: `the database refused a session value: ${reply.value.outcome.message}` })
     }
-    appliedValues = version === 0 ? null : { owner: values.owner, version }
+    appliedValues = version === 0 ? null : { owner, version }
     return ok(undefined)
   }
 
