entry: a connection holder does not execute a request whose sender may have stopped waiting

A request could begin after its caller was told 'unknown'. Cause: 'remainingMs' was counted from the moment at which the holder read the request, however long the holder had stood still. A proxy that holds the bytes does not show it there: the holder's own pings end the channel as early as the sender's. Fix: the request carries 'startBy', a time of the holder's clock as in the calls of borrowers, and is refused as not run when it is later. What remains: the HTTP entry program reads a clock that omits suspended time, so a suspend of the holder alone is not seen there.

--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -101,7 +101,7 @@
   const metrics = createMetrics()
   const postgres = { credentials: { user: settings.database.user, password: settings.database.password, database: settings.database.databaseName } }
 
-  const requesterChannels = createRequesterChannels(() => executors)
+  const requesterChannels = createRequesterChannels(() => executors, clock)
   const executors: GroupExecutors = createGroupExecutors({
     instance,
     blackboard,
@@ -205,7 +205,7 @@
     onFinished: recordFinished
   })
 
-  const peerServer: MessageServer = await listenForMessages({ host: settings.peers.host, port: settings.peers.port, clusterSecret: settings.clusterSecret, tls, onChannel: requesterChannels.accept })
+  const peerServer: MessageServer = await listenForMessages({ host: settings.peers.host, port: settings.peers.port, clusterSecret: settings.clusterSecret, tls, clock, onChannel: requesterChannels.accept })
   const ownPeerAddress = settings.peerAddress ?? address(`${settings.peers.host}:${peerServer.port}`)
   const buildHello = (purpose: Hello['purpose']): Hello => ({ purpose, name: instance, address: ownPeerAddress })
 
--- a/src/entry/holder-channels.ts
+++ b/src/entry/holder-channels.ts
@@ -1,9 +1,12 @@
+import { monotonicClock } from '../adapters/timers/monotonic-clock.js'
 import { dialChannel } from '../adapters/ws/dial-channel.js'
 import type { Hello, MessageChannel } from '../adapters/ws/message-channel.js'
 import type { TlsFiles } from '../adapters/ws/tls-files.js'
+import { createPeerClock } from '../decisions/membership/peer-clock.js'
+import type { PeerClock } from '../decisions/membership/peer-clock.js'
 import type { Address, InstanceId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
-import type { Answer, PeerMessage } from '../types/peer-message.js'
+import type { Answer, Execute, PeerMessage } from '../types/peer-message.js'
 
 /** Delay before the next dial after a channel has ended or a dial has failed, in milliseconds. */
 const REDIAL_DELAY_MS = 200
@@ -35,6 +38,7 @@
 interface Holder {
   address: Address
   channel: MessageChannel | null
+  peerClock: PeerClock
   isWanted: boolean
 }
 
@@ -61,9 +65,14 @@
       return
     }
     holder.channel = channel
+    // The instance may have been restarted since the last channel.
+    holder.peerClock = createPeerClock(monotonicClock)
+    if (channel.peerTime !== null) holder.peerClock.record(channel.peerTime)
     channel.onMessage((message) => {
       const answer = message as PeerMessage
-      if (answer.kind === 'answer') options.onAnswer(name, answer)
+      if (answer.kind !== 'answer') return
+      if (answer.now !== undefined) holder.peerClock.record(answer.now)
+      options.onAnswer(name, answer)
     })
     channel.onEnd(() => {
       holder.channel = null
@@ -74,6 +83,12 @@
     options.onOpened(name)
   }
 
+  /** Adds the time from which this instance may have stopped waiting: at the deadline, or when the channel ends for silence. */
+  function addTimeLimit (request: Execute, channel: MessageChannel, peerClock: PeerClock): Execute {
+    const startBy = peerClock.timeAfter(Math.min(request.remainingMs, channel.minSilenceMs()))
+    return startBy === null ? request : { ...request, startBy }
+  }
+
   function removeHolder (name: InstanceId, holder: Holder): void {
     holder.isWanted = false
     holders.delete(name)
@@ -87,15 +102,15 @@
       }
       for (const [name, address] of wanted) {
         if (holders.has(name)) continue
-        const holder: Holder = { address, channel: null, isWanted: true }
+        const holder: Holder = { address, channel: null, peerClock: createPeerClock(monotonicClock), isWanted: true }
         holders.set(name, holder)
         connect(name, holder)
       }
     },
     send: (name, message) => {
-      const channel = holders.get(name)?.channel ?? null
-      if (channel === null) return false
-      channel.send(message)
+      const holder = holders.get(name)
+      if (holder === undefined || holder.channel === null) return false
+      holder.channel.send(message.kind === 'execute' ? addTimeLimit(message, holder.channel, holder.peerClock) : message)
       return true
     },
     isConnected: (name) => (holders.get(name)?.channel ?? null) !== null,
--- a/src/entry/requester-channels.ts
+++ b/src/entry/requester-channels.ts
@@ -1,5 +1,8 @@
 import type { MessageChannel } from '../adapters/ws/message-channel.js'
-import type { Answer, PeerMessage } from '../types/peer-message.js'
+import type { Clock } from '../types/clock.js'
+import { milliseconds } from '../types/clock.js'
+import type { Answer, Execute, PeerMessage } from '../types/peer-message.js'
+import { buildRefusal } from '../types/result-code.js'
 import type { RequesterName } from '../types/executor-message.js'
 import type { GroupExecutors } from './group-executors.js'
 
@@ -11,11 +14,25 @@
   answer: (to: RequesterName, answer: Answer) => void
 }
 
-/** @param executors - returns the executors that run the requests */
-export function createRequesterChannels (executors: () => GroupExecutors): RequesterChannels {
+/**
+ * @param executors - returns the executors that run the requests
+ * @param clock - clock that the requesters' `startBy` refers to
+ */
+export function createRequesterChannels (executors: () => GroupExecutors, clock: Clock): RequesterChannels {
   const channels = new Map<RequesterName, MessageChannel>()
   let channelCount = 0
 
+  function answer (to: RequesterName, message: Answer): void {
+    channels.get(to)?.send({ ...message, now: milliseconds(Math.floor(clock.now())) } satisfies Answer)
+  }
+
+  function execute (from: RequesterName, request: Execute): void {
+    const isLate = request.startBy !== undefined && clock.now() >= request.startBy
+    if (!isLate) return executors().execute(from, request)
+    const outcome = buildRefusal('noHolder', 'not-run', 'the request reached the connection holder after the time at which its sender may have stopped waiting', 0)
+    answer(from, { version: 1, kind: 'answer', requestId: request.requestId, outcome })
+  }
+
   function accept (channel: MessageChannel): void {
     if (channel.hello.purpose !== 'peer') {
       channel.close()
@@ -25,7 +42,7 @@
     channels.set(name, channel)
     channel.onMessage((message) => {
       const request = message as PeerMessage
-      if (request.kind === 'execute') executors().execute(name, request)
+      if (request.kind === 'execute') execute(name, request)
       if (request.kind === 'cancel') executors().cancel(name, request)
     })
     channel.onEnd(() => {
@@ -36,6 +53,6 @@
 
   return {
     accept,
-    answer: (to, answer) => { channels.get(to)?.send(answer) }
+    answer
   }
 }
--- a/src/types/peer-message.ts
+++ b/src/types/peer-message.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from './clock.js'
 import type { GroupId, KeyId, RequestId, TransactionId, WorkspaceId } from './ids.js'
 import type { LogPosition } from './log-position.js'
 import type { ColumnValue, Outcome } from './outcome.js'
@@ -28,6 +29,8 @@
   oldestAgeMs: number | null
   /** Time left for the request when it was sent, in milliseconds. */
   remainingMs: number
+  /** Time on the holder's clock from which the sender may have stopped waiting. Set when the request is sent over a channel whose holder's clock is known. */
+  startBy?: Milliseconds
   idempotencyKey: string | null
   nonIdempotent: boolean
 }
@@ -37,6 +40,8 @@
   kind: 'answer'
   requestId: RequestId
   outcome: Outcome
+  /** Reading of the holder's clock. Set when the answer is sent over a channel. */
+  now?: Milliseconds
 }
 
 /** Cancels a request whose caller disconnected or whose deadline passed. */
