ws: the connection to a silent peer is reset

Cause: 'terminate' of a WebSocket closes the socket in order. Fix: the ping loop resets the socket. Lenders already refuse late calls; this keeps them off the network, together with old token requests and heartbeats. What remains: over TLS the socket is closed as before, since Node.js can not reset it.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -18,6 +18,10 @@
 export interface LoopbackProxy {
   readonly address: string
   mode: ProxyMode
+  /** @returns number of connections of which neither end is closed */
+  countOpen: () => number
+  /** @returns number of connections that one of their ends has reset */
+  countResets: () => number
   /** Resets all open connections. */
   reset: () => void
   close: () => void
@@ -28,6 +32,7 @@
   const pairs = new Set<[Socket, Socket]>()
   let currentMode: ProxyMode = 'forward'
   let held: (() => void)[] = []
+  let resetCount = 0
 
   function relay (from: Socket, to: Socket, isAnswer: boolean): void {
     from.on('data', (bytes) => {
@@ -49,7 +54,7 @@
     relay(incoming, outgoing, false)
     relay(outgoing, incoming, true)
     for (const [socket, other] of [pair, [outgoing, incoming] as const]) {
-      socket.on('error', () => {})
+      socket.on('error', (error: NodeJS.ErrnoException) => { if (error.code === 'ECONNRESET') resetCount++ })
       socket.on('close', () => {
         pairs.delete(pair)
         if (proxy.mode === 'hold') held.push(() => { other.destroySoon() })
@@ -78,6 +83,8 @@
       held = []
       for (const forward of released) forward()
     },
+    countOpen: () => pairs.size,
+    countResets: () => resetCount,
     reset,
     close: () => {
       server.close()
--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -63,6 +63,8 @@
   pings?: PingMode | undefined
   /** The peer's clock reading from the handshake. Default: null, when the peer sent none. */
   peerTime?: Milliseconds | null
+  /** Resets the connection to a silent peer. Default: the socket is only closed, and messages that the peer has not received may still reach it. */
+  reset?: () => void
   /** @returns bytes received on the socket. Default: 0, for channels whose owner does not read this number. */
   countSocketBytes?: () => number
 }
@@ -96,7 +98,7 @@
  * Creates a channel on an authenticated socket. Pings the peer and ends the socket when neither a pong nor a message arrives,
  * since a connection can become silent for good without being closed.
  */
-export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: pingMode = 'always', peerTime = null, countSocketBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
+export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: pingMode = 'always', peerTime = null, reset = () => {}, countSocketBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
   const endListeners: (() => void)[] = []
   let hasEnded = false
   let missedPings = 0
@@ -108,7 +110,7 @@
 
   function startPings (): NodeJS.Timeout {
     return setInterval(() => {
-      if (missedPings >= MAX_MISSED_PINGS) return end()
+      if (missedPings >= MAX_MISSED_PINGS) return endSilent()
       missedPings++
       socket.ping()
     }, pingIntervalMs)
@@ -121,6 +123,11 @@
     pingTimer = isWaiting ? startPings() : null
   }
 
+  function endSilent (): void {
+    reset()
+    end()
+  }
+
   function end (): void {
     if (hasEnded) return
     hasEnded = true
--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -5,6 +5,7 @@
 import { WebSocketServer } from 'ws'
 import type { WebSocket } from 'ws'
 import type { Clock } from '../../types/clock.js'
+import { resetSocket } from '../sockets/reset-socket.js'
 import { acceptHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
 import type { PingMode, Hello, MessageChannel } from './message-channel.js'
@@ -47,18 +48,18 @@
   const sockets = new Set<Socket>()
   const webSockets = new WebSocketServer({ server, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
 
-  async function accept (socket: WebSocket): Promise<void> {
+  async function accept (socket: WebSocket, rawSocket: Socket): Promise<void> {
     socket.on('error', () => { socket.terminate() })
     const inbox = createInbox(socket)
     try {
       const hello = await acceptHandshake(socket, inbox, options.clusterSecret, options.clock ?? null)
-      options.onChannel(createMessageChannel(socket, inbox, hello, { pings: options.pings?.(hello) }))
+      options.onChannel(createMessageChannel(socket, inbox, hello, { pings: options.pings?.(hello), reset: () => { resetSocket(rawSocket) } }))
     } catch {
       socket.terminate()
     }
   }
 
-  webSockets.on('connection', (socket) => { accept(socket) })
+  webSockets.on('connection', (socket, { socket: rawSocket }) => { accept(socket, rawSocket) })
   server.on('connection', (socket: Socket) => {
     socket.setNoDelay(true)
     sockets.add(socket)
--- a/test/adapters/ws/message-server.test.ts
+++ b/test/adapters/ws/message-server.test.ts
@@ -3,6 +3,7 @@
 import { dialChannel } from '../../../src/adapters/ws/dial-channel.js'
 import { packMessage, type MessageChannel } from '../../../src/adapters/ws/message-channel.js'
 import { listenForMessages } from '../../../src/adapters/ws/message-server.js'
+import { startLoopbackProxy } from '../../../soak/loopback-proxy.js'
 
 /** Opens channels over loopback sockets. Guards against lost or damaged messages and against peers that do not know the cluster secret. */
 
@@ -75,3 +76,21 @@
   })
   t.equal(await ended, 'entry-1')
 })
+
+t.test('the connection to a silent peer is reset, so that nothing of it is sent on', async (t) => {
+  const address = await startServer(t, () => {})
+  const [host = '', port = ''] = address.split(':')
+  const proxy = await startLoopbackProxy(host, { host, port: Number(port) })
+  t.teardown(proxy.close)
+  const channel = (await dialChannel({ address: proxy.address, hello, clusterSecret: 'right secret', tls: null }))._unsafeUnwrap()
+  proxy.mode = 'silent'
+  await new Promise<void>((resolve) => { channel.onEnd(resolve) })
+  await new Promise<void>((resolve) => {
+    const poll = setInterval(() => {
+      if (proxy.countOpen() > 0) return
+      clearInterval(poll)
+      resolve()
+    }, 10)
+  })
+  t.ok(proxy.countResets() > 0)
+})
