entry: a lender does not start a call whose channel was reset

Cause: the lender started a call while it read the connection. The reset comes behind the call and was seen only afterwards. Fix: messages of a channel are handled after the connection has been read, and dropped if its end was read. Order is kept.

--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -74,6 +74,8 @@
   readonly hello: Hello
   /** The peer's clock reading from the handshake; null when the peer sent none. */
   readonly peerTime: Milliseconds | null
+  /** @returns whether the channel can still carry messages; false as soon as the end of the connection was read, before the `onEnd` listeners are called */
+  isOpen: () => boolean
   /** Sends a message; drops it when the channel has ended. */
   send: (message: unknown) => void
   /** Sends a message that `packMessage` has encoded. */
@@ -84,6 +86,8 @@
   minSilenceMs: () => number
   /** Ends the channel at once. */
   close: () => void
+  /** Ends the channel at once, and discards what the peer has not received. */
+  reset: () => void
   /** Sets the only listener and delivers to it at once the messages received so far. */
   onMessage: (listener: (message: unknown) => void) => void
   /** Calls the listener once when the channel has ended for any reason. */
@@ -110,7 +114,7 @@
 
   function startPings (): NodeJS.Timeout {
     return setInterval(() => {
-      if (missedPings >= MAX_MISSED_PINGS) return endSilent()
+      if (missedPings >= MAX_MISSED_PINGS) return endWithReset()
       missedPings++
       socket.ping()
     }, pingIntervalMs)
@@ -123,7 +127,7 @@
     pingTimer = isWaiting ? startPings() : null
   }
 
-  function endSilent (): void {
+  function endWithReset (): void {
     reset()
     end()
   }
@@ -162,6 +166,7 @@
   return {
     hello,
     peerTime,
+    isOpen: () => !hasEnded && socket.readyState === socket.OPEN,
     send: (message) => {
       if (!hasEnded) sendPacked(messageCodec.pack(message))
     },
@@ -170,6 +175,7 @@
     // The next ping may be due at once, so the interval before it does not count.
     minSilenceMs: () => hasEnded ? 0 : (MAX_MISSED_PINGS - missedPings) * pingIntervalMs,
     close: end,
+    reset: endWithReset,
     onMessage: (listener) => { inbox.deliverTo((data) => { receive(data, listener) }) },
     onEnd: (listener) => {
       if (hasEnded) {
--- a/src/entry/peer-call-handler.ts
+++ b/src/entry/peer-call-handler.ts
@@ -33,14 +33,18 @@
       channel.setWaiting(lending.countLoansOf(borrower) > 0)
     }
 
-    channel.onMessage((received) => {
-      const message = received as PeerCallMessage
+    function handleMessage (message: PeerCallMessage): void {
       if (message.kind === 'end-loan') {
         lending.end(borrower, message)
         channel.setWaiting(lending.countLoansOf(borrower) > 0)
         return
       }
       answerCall(message).catch((error: unknown) => { logEvent('peerCallFailed', { peer: channel.hello.name, message: String(error) }) })
+    }
+
+    // A borrower whose channel was reset no longer waits. The reset is read right after the last message, hence before the next immediate callback.
+    channel.onMessage((message) => {
+      setImmediate(() => { if (channel.isOpen()) handleMessage(message as PeerCallMessage) })
     })
     channel.onEnd(() => { lending.endAllLoans(borrower) })
   }
--- a/test/entry/peer-calls.test.ts
+++ b/test/entry/peer-calls.test.ts
@@ -2,6 +2,7 @@
 import type { Test } from 'tap'
 import { createElapsedClock } from '../../src/adapters/timers/elapsed-clock.js'
 import { monotonicClock } from '../../src/adapters/timers/monotonic-clock.js'
+import { dialChannel } from '../../src/adapters/ws/dial-channel.js'
 import { listenForMessages } from '../../src/adapters/ws/message-server.js'
 import { createConnectionLending } from '../../src/decisions/caller-sessions/connection-lending.js'
 import { createDatabaseHealth } from '../../src/decisions/caller-sessions/database-health.js'
@@ -26,6 +27,13 @@
   return () => { clearTimeout(timer) }
 }
 
+/** Waits until the database has handled everything that was sent to it before. */
+async function waitForDatabase (databaseAddress: string): Promise<void> {
+  const opened = await openWireSession({ database: databaseId('d'), group: groupId('g'), address: address(databaseAddress), workspace: null }, 2000)
+  await opened._unsafeUnwrap().run({ id: null, statement: { kind: 'status' }, after: null })
+  opened._unsafeUnwrap().close()
+}
+
 async function startBorrowerAndLender (t: Test) {
   const database = await startWireDatabase('g', 'd')
   const listed: DirectoryDatabase = { database: databaseId('d'), group: groupId('g'), address: address(database.address), failureDomain: failureDomainId('r'), weight: 1 }
@@ -82,7 +90,7 @@
     sendBy: null,
     isLast: true
   })
-  return { database, calls, lender, proxy, buildRead, lenderEnd, lateStatements, countChannels: () => channelCount }
+  return { database, calls, lender, serverAddress: `127.0.0.1:${server.port}`, proxy, buildRead, lenderEnd, lateStatements, countChannels: () => channelCount }
 }
 
 t.test('a statement that the network held until its borrower stopped waiting reaches no database', async (t) => {
@@ -96,3 +104,17 @@
   t.ok((await calls.call(lender, buildRead('q3', 3), 1000)).isOk())
   t.same(database.ran.map(({ id }) => id), ['q1', 'q3'])
 })
+
+t.test('a statement that the lender reads together with the reset of its channel reaches no database', async (t) => {
+  const { database, serverAddress, buildRead, lenderEnd } = await startBorrowerAndLender(t)
+  const channel = (await dialChannel({ address: serverAddress, hello, clusterSecret, tls: null, pings: 'while-waiting' }))._unsafeUnwrap()
+  const answered = new Promise<void>((resolve) => { channel.onMessage(() => { resolve() }) })
+  channel.send({ kind: 'call', call: 1, body: buildRead('q1', 1) })
+  await answered
+  channel.send({ kind: 'call', call: 2, body: buildRead('q2', 2) })
+  channel.reset()
+  await lenderEnd
+  // The database handles statements in order, so it has received anything before this one.
+  await waitForDatabase(database.address)
+  t.same(database.ran.map(({ id }) => id), ['q1'])
+})
