caller-sessions: a transaction confirms positions only while its database is the confirmed primary

What callers saw: nothing observed; a read could run on a replica that lacks commits which were acknowledged longer ago than its endpoint allows (STALE). Cause: whether the freshness lease holds was noted when a transaction got its connection, and used for all its statements. A read-only transaction that outlived the lease, or the term of its primary, still entered the positions of its answers as confirmed at that time; other reads then asked replicas for these. Fix: the evidence is looked up again for each statement of a transaction.

--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -102,6 +102,18 @@
   }
 }
 
+/**
+ * Checks again whether the database of a connection is the confirmed primary, since a transaction can outlive the freshness lease and
+ * the term under which it began.
+ * @returns the connection with the evidence at this time
+ */
+export function refreshPrimaryEvidence ({ access }: Pick<SessionServices, 'access'>, acquired: AcquiredConnection): AcquiredConnection {
+  if (!acquired.isPrimary) return acquired
+  const primary = access.primary(acquired.group)
+  const isSamePrimary = primary !== null && primary.database.database === acquired.pooled.database && primary.term === acquired.groupTerm
+  return { ...acquired, hadFreshnessLease: isSamePrimary && primary.proven }
+}
+
 function hasOtherDatabases ({ access }: SessionServices, { grant, excludedDatabases }: ConnectionRequirements): boolean {
   return access.databases(grant.endpoint.group).some(({ database }) => !excludedDatabases.has(database))
 }
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -2,7 +2,7 @@
 import type { DatabaseErrorKind } from '../../types/database-session.js'
 import type { SessionAnswer, SessionRefusal, SessionStatement } from '../../types/session-statement.js'
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
-import { acquireConnection } from './acquire-connection.js'
+import { acquireConnection, refreshPrimaryEvidence } from './acquire-connection.js'
 import type { PrimaryWork } from './group-access.js'
 import type { SessionContext } from './session-context.js'
 import { buildDecisionDetails, recordFinishedOperation, releaseOrDiscard, MIN_RUN_MS, logRefusal, buildRequirements, recordDatabaseRefusal, recordReplyPosition, computeRemainingMs, rollBackAndRelease } from './session-context.js'
@@ -159,8 +159,9 @@
   }
 
   async function runAuthorized (grant: SessionGrant, id: string, statement: SessionStatement, kind: TransactionStatementKind, arrivedAt: Milliseconds): Promise<TransactionAnswer> {
-    const acquired = await ensureConnection(grant, arrivedAt, kind === 'write')
-    if ('promise' in acquired) return endWithRefusal(grant, id, kind, acquired, null)
+    const connection = await ensureConnection(grant, arrivedAt, kind === 'write')
+    if ('promise' in connection) return endWithRefusal(grant, id, kind, connection, null)
+    const acquired = refreshPrimaryEvidence(services, connection)
     const limitMs = Math.max(MIN_RUN_MS, arrivedAt + grant.endpoint.statementTimeoutMs - clock.now())
     const result = await runStatement(services, acquired.pooled, { id, statement, after: null, values, limitMs, isLast: kind === 'commit' })
     const canCommitWrite = kind === 'commit' && hasWritten
--- a/test/decisions/caller-sessions/caller-session.test.ts
+++ b/test/decisions/caller-sessions/caller-session.test.ts
@@ -32,6 +32,18 @@
       t.same(harness.statementKindsAt('p'), ['run', 'run'])
     })
 
+    suite.test(`a position that is reported inside a transaction after the freshness lease has ended confirms nothing (${source} connections)`, async (t) => {
+      const harness = createSessionHarness('bounded-staleness', source)
+      const session = harness.open()
+      await session.handle('1', { kind: 'begin', readOnly: true })
+      await session.handle('2', read)
+      await harness.advance(2000)
+      harness.renewLease(-1)
+      t.equal(promiseOf(await session.handle('3', read)), 'done')
+      await harness.open().handle('4', read)
+      t.same(harness.database('r').received, [], 'nothing shows that the position is recent enough for a replica')
+    })
+
     suite.test('a session reads its own commit, and reads it from the primary after a change of term', async (t) => {
       const harness = createSessionHarness('read-your-writes', source)
       const session = harness.open()
