promotion: an election keeps to the history of the newest promotion

As the cut heals, a second election compares positions only: i-9e16b79e8c answers as replica of promotion 1 at 1.84, i-e2e9145aec as replica of promotion 2 at 1.33, and the former primary is promoted.

Change: only databases with the newest promotion are candidates. Where none of them has answered, the others wait promotionTimeoutMs. Event 412 gives the candidates of each election.

Databases that we fence ourselves append an entry of the new term at promotion, so their positions are ordered already.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -237,8 +237,18 @@
   // The replica whose position is missing may be the only one with the last acknowledged commit.
   if (!isComplete && waitsForReplicas && step.plan.oldTerm > 0) return undefined
   if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
+  const hasNewestHistory = candidates.some(({ known }) => known.status.term >= record.historyTerm)
+  // Only databases that lack the newest promotion have answered. The others get time to answer, but the group must not stay without a primary.
+  if (!hasNewestHistory && view.now - step.answeredAt < times.promotionTimeoutMs) return undefined
   if (fenceReceivingReplicas(context, step, candidates, releasedAt)) return undefined
-  return chooseCandidate(candidates, step.plan, waitsForReplicas)
+  const chosen = chooseCandidate(candidates, step.plan, waitsForReplicas)
+  if (chosen === undefined) return undefined
+  context.effects.push({ kind: 'log', name: 'candidateChosen', details: { group: view.group, term: step.term, chosen, historyTerm: record.historyTerm, candidates: candidates.map(describeCandidate).join(', ') } })
+  return chosen
+}
+
+function describeCandidate ({ member, known: { status } }: Candidate): string {
+  return `${member.database} ${status.role} of promotion ${status.term} at ${status.position.term}.${status.position.offset}`
 }
 
 function advancePromoting (context: PromotionContext, step: Step<'promoting'>): void {
@@ -286,14 +296,22 @@
     return
   }
   if (replicated.term < step.term) return
+  recordPromotion(record, step.database)
   record.step = { kind: 'idle' }
   const planned = step.plan.cause === 'planned'
   const details = { group: view.group, term: step.term, primary: step.database, cause: step.plan.cause, gapMs: Math.round(view.now - step.plan.startedAt) }
   context.effects.push({ kind: 'log', name: planned ? 'switchoverEnded' : 'failoverEnded', details })
 }
 
+/** Records that a promotion took effect. A database that was a replica leads a term above the one that it reported before. */
+function recordPromotion (record: PromotionRecord, database: DatabaseId): void {
+  const before = record.statuses.get(database)?.status
+  if (before !== undefined) record.historyTerm = Math.max(record.historyTerm, before.role === 'replica' ? before.term + 1 : before.term)
+}
+
 /** Records a status of a database, unless a later query was answered before. Of two statuses of one moment, the further position stays. */
 export function recordStatus (record: PromotionRecord, database: DatabaseId, known: KnownStatus): void {
+  record.historyTerm = Math.max(record.historyTerm, known.status.term)
   const last = record.statuses.get(database)
   if (last !== undefined && last.requestedAt > known.requestedAt) return
   if (last !== undefined && last.requestedAt === known.requestedAt && compareLogPositions(last.status.position, known.status.position) > 0) return
--- a/src/decisions/promotion/choose-candidate.ts
+++ b/src/decisions/promotion/choose-candidate.ts
@@ -12,6 +12,9 @@
 /**
  * Chooses the database to promote.
  *
+ * Only databases with the history of the newest promotion are eligible. A former primary keeps the commits that a promotion has cut
+ * off until it reaches its successor, so its offset can be the highest although its history has ended.
+ *
  * Where commits wait for replicas, the database with the furthest position goes first, because only that one surely has every
  * acknowledged commit. Elsewhere a database with a weight above 0 goes first: a commit that only the lost primary has is lost in any
  * case, and a primary of weight 0 would serve no requests.
@@ -22,7 +25,9 @@
  */
 export function chooseCandidate (candidates: readonly Candidate[], plan: PromotionPlan, waitsForReplicas: boolean): DatabaseId | undefined {
   const isPrimaryExcluded = plan.cause === 'lost' || plan.cause === 'planned'
-  const eligible = candidates.filter(({ member }) => !isPrimaryExcluded || member.database !== plan.oldPrimary)
+  const notExcluded = candidates.filter(({ member }) => !isPrimaryExcluded || member.database !== plan.oldPrimary)
+  const newestTerm = Math.max(...notExcluded.map(({ known }) => known.status.term))
+  const eligible = notExcluded.filter(({ known }) => known.status.term === newestTerm)
   const running = eligible.find(({ member, known }) => known.status.role === 'primary' && member.weight > 0)
   // A promotion that an earlier leader ordered has taken effect; promoting another database would only interrupt writes again.
   if (running !== undefined && plan.cause !== 'planned') return running.member.database
--- a/src/decisions/promotion/promotion-controller.ts
+++ b/src/decisions/promotion/promotion-controller.ts
@@ -58,6 +58,7 @@
     const record: PromotionRecord = {
       step: { kind: 'idle' },
       statuses: new Map(),
+      historyTerm: 0,
       queryFailedAt: new Map(),
       serving: isServing ? { term: replicated.term, since: view.leadership.since } : null,
       isProposing: false,
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -53,6 +53,8 @@
   step: PromotionStep
   /** Newest answer of each database to a status query or fence order. */
   statuses: Map<DatabaseId, KnownStatus>
+  /** Term of the newest promotion that a database has reported or that took effect under this leader; databases count their own terms. */
+  historyTerm: number
   /** When the last failed status query of each database failed. */
   queryFailedAt: Map<DatabaseId, Milliseconds>
   /** The term in service, and since when this leader has seen the group serve under it. */
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -43,6 +43,7 @@
   databaseDeparting: { event: 402, name: 'database-departing', level: 'info', meaning: 'A database announced that it is leaving.' },
   databaseSilent: { event: 403, name: 'database-silent', level: 'warn', meaning: 'A database stopped answering this instance.' },
   failoverBegan: { event: 404, name: 'failover-began', level: 'warn', meaning: 'The control leader considered the primary of a group lost and began a new term.' },
+  candidateChosen: { event: 412, name: 'candidate-chosen', level: 'info', meaning: 'An election chose the database to promote; gives role, newest known promotion and position of each database that answered.' },
   failoverEnded: { event: 405, name: 'failover-ended', level: 'info', meaning: 'A new primary serves the group.' },
   switchoverBegan: { event: 406, name: 'switchover-began', level: 'info', meaning: 'A planned change of primary began.' },
   switchoverEnded: { event: 407, name: 'switchover-ended', level: 'info', meaning: 'A planned change of primary ended.' },
--- a/test/decisions/promotion/promotion-controller.test.ts
+++ b/test/decisions/promotion/promotion-controller.test.ts
@@ -90,9 +90,10 @@
     return [...effects, ...publish(group.phase)]
   }
 
-  function answerStatus (order: SentOrder, offset: number, role: 'primary' | 'replica' = 'replica'): FailoverEffect[] {
+  /** @param historyTerm - term of the newest promotion that the database knows of */
+  function answerStatus (order: SentOrder, offset: number, role: 'primary' | 'replica' = 'replica', historyTerm = 1): FailoverEffect[] {
     const fencedTerm = order.action.kind === 'fence' ? order.action.term : 0
-    const status = { ...buildAnnouncedStatus(order.database, 1, role), term: 1, fencedTerm, position: { term: 1, offset } }
+    const status = { ...buildAnnouncedStatus(order.database, 1, role), term: historyTerm, fencedTerm, position: { term: 1, offset } }
     return promotion.handle({ kind: 'order-answered', order, status })
   }
 
@@ -147,6 +148,42 @@
   t.match(findCommand(harness.announce('s', 'primary')), { kind: 'set-primary', term: 2, database: 's' })
 })
 
+/**
+ * Lets s take over from p, which keeps commits that s has not received, and then lets s be lost before it has committed anything.
+ * @returns the harness, and the status orders of the second election
+ */
+function loseSuccessor (): { harness: ReturnType<typeof createHarness>, statusOrders: SentOrder[] } {
+  const harness = createHarness()
+  const promoteOrders = ordersIn(losePrimary(harness, { r: 33, s: 34 }), 'promote')
+  harness.promotion.handle({ kind: 'order-answered', order: promoteOrders[0] as SentOrder, status: buildAnnouncedStatus(databaseId('s'), 0, 'replica') })
+  harness.clock.advance(600)
+  harness.acceptProposal(findCommand(harness.announce('s', 'primary')) as GroupCommand)
+  harness.clock.advance(3000)
+  harness.announce('p', 'replica')
+  harness.announce('r', 'replica')
+  for (const name of ['a', 'b', 'c']) harness.report(name, 1, harness.silence('s', 2500))
+  harness.acceptProposal(findCommand(harness.advance(100)) as GroupCommand)
+  for (const name of ['a', 'b']) harness.report(name, 2)
+  return { harness, statusOrders: ordersIn(harness.report('c', 2), 'status') }
+}
+
+t.test('an election does not choose a former primary whose last commits an earlier promotion has cut off', async (t) => {
+  for (const order of [['p', 'r'], ['r', 'p']]) {
+    const { harness, statusOrders } = loseSuccessor()
+    let effects: FailoverEffect[] = []
+    for (const name of order) effects = [...effects, ...harness.answerStatus(findOrder(statusOrders, name), name === 'p' ? 84 : 34, 'replica', name === 'p' ? 1 : 2)]
+    effects.push(...harness.advance(400))
+    t.same(ordersIn(effects, 'promote').map(({ database }) => database), ['r'], `answers of ${order.join(' and ')}`)
+  }
+})
+
+t.test('a database that lacks the newest promotion is promoted only after the others have had time to answer', async (t) => {
+  const { harness, statusOrders } = loseSuccessor()
+  const effects = harness.answerStatus(findOrder(statusOrders, 'p'), 84, 'replica', 1)
+  t.same(ordersIn([...effects, ...harness.advance(1000)], 'promote'), [], 'r may have the history of the newest promotion')
+  t.match(ordersIn(harness.advance(4000), 'promote'), [{ database: 'p' }], 'the group does not stay without a primary')
+})
+
 t.test('silence to a minority of the instances, or silence before an announcement, replaces no primary', async (t) => {
   const minority = createHarness()
   minority.clock.advance(500)
