promotion: silence from before an instance was back in contact is no evidence

Change: the registry keeps since when an instance has been in contact, and a report of silence counts at most from then on; before primarySilentMs of contact it is no report at all.

Tests: 'silence from a time when the instances were cut off themselves replaces no primary' failed before with the evidence as it was; that silence after the contact still replaces a primary, and that a gap between heartbeats ends the contact, is tested beside it. The tests of evidence and the harness moved to files of their own, unchanged.

--- a/src/blackboard/control-instance-entries.ts
+++ b/src/blackboard/control-instance-entries.ts
@@ -31,6 +31,8 @@
   draining: boolean
   sequence: number
   lastHeartbeatAt: Milliseconds
+  /** Since when heartbeats have arrived without a gap in which the instance may have been cut off. Its reports of silence count only from then on. */
+  inContactSince: Milliseconds
   manifestVersion: number
   directoryVersion: DirectoryVersion | null
   releasedTerms: ReleasedTerm[]
--- a/src/decisions/membership/instance-registry.ts
+++ b/src/decisions/membership/instance-registry.ts
@@ -7,6 +7,9 @@
 import { FRESHNESS_LEASE_END_MS } from '../../types/lease.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
+/** Time without a heartbeat after which an instance counts as out of contact: two heartbeat intervals, so that a single lost heartbeat is no gap. */
+const CONTACT_GAP_MS = 1000
+
 export interface InstanceRegistryOptions {
   blackboard: Blackboard
   clock: Clock
@@ -50,7 +53,9 @@
     const isSameIncarnation = known?.incarnation === heartbeat.incarnation
     if (known !== undefined && isSameIncarnation && heartbeat.sequence <= known.sequence) return 'ignored'
     if (known !== undefined && !isSameIncarnation) retiredIncarnations.add(known.instance, known.incarnation)
-    const registered = toRegisteredInstance(heartbeat, clock.now())
+    const now = clock.now()
+    const isInContact = known !== undefined && isSameIncarnation && now - known.lastHeartbeatAt <= CONTACT_GAP_MS
+    const registered = toRegisteredInstance(heartbeat, now, isInContact ? known.inContactSince : now)
     instances.set(heartbeat.instance, registered)
     entry.write(instances)
     if (known === undefined || !isSameIncarnation) return 'joined'
@@ -80,7 +85,7 @@
   return { handle, leave, tick, reset }
 }
 
-function toRegisteredInstance (heartbeat: Heartbeat, now: Milliseconds): RegisteredInstance {
+function toRegisteredInstance (heartbeat: Heartbeat, now: Milliseconds, inContactSince: Milliseconds): RegisteredInstance {
   const { instance, incarnation, peerAddress, failureDomain, draining, sequence, manifestVersion, directoryVersion, releasedTerms } = heartbeat
   return {
     instance,
@@ -90,6 +95,7 @@
     draining,
     sequence,
     lastHeartbeatAt: now,
+    inContactSince,
     manifestVersion,
     directoryVersion,
     releasedTerms,
--- a/src/decisions/promotion/primary-evidence.ts
+++ b/src/decisions/promotion/primary-evidence.ts
@@ -24,7 +24,7 @@
   const member = findMember(view, primary)
   if (primary === null) return 'lost'
   const announcedMsAgo = member === undefined ? Infinity : view.now - member.registered.announcedAt
-  const reportedSilences = [...view.instances.values()].map((instance) => computeSilenceMs(view, instance, primary)).filter((silence) => silence !== null)
+  const reportedSilences = [...view.instances.values()].map((instance) => computeSilenceMs(view, instance, primary, times)).filter((silence) => silence !== null)
   const longSilences = reportedSilences.filter((silence) => silence >= times.primarySilentMs).sort((left, right) => left - right)
   const hasEnoughReports = longSilences.length >= Math.min(MIN_SILENT_REPORTS, view.instances.size)
   const isMajoritySilent = hasEnoughReports && longSilences.length > 0 && longSilences.length * 2 > reportedSilences.length
@@ -38,9 +38,17 @@
   return announcedMsAgo <= times.announcementMs * 2 ? 'alive' : 'doubtful'
 }
 
-/** @returns how long an instance has had no answer of the database, in ms; 0 while it gets answers; null without a recent report */
-function computeSilenceMs (view: GroupView, instance: RegisteredInstance, database: DatabaseId): number | null {
+/**
+ * Computes how long an instance has had no answer of the database while it was in contact with this leader. Silence from before that
+ * shows only that the instance itself was cut off.
+ * @returns the time in ms; 0 while the instance gets answers; null without a recent report, and while its contact is too short to tell
+ */
+function computeSilenceMs (view: GroupView, instance: RegisteredInstance, database: DatabaseId, times: PromotionTimes): number | null {
   const observation = instance.observations.get(database)
   if (observation === undefined || view.now - instance.lastHeartbeatAt > MAX_REPORT_AGE_MS) return null
-  return observation.silentForMs === 0 ? 0 : observation.silentForMs + (view.now - observation.arrivedAt)
+  if (observation.silentForMs === 0) return 0
+  const silenceMs = observation.silentForMs + (view.now - observation.arrivedAt)
+  const contactMs = view.now - instance.inContactSince
+  if (silenceMs <= contactMs) return silenceMs
+  return contactMs < times.primarySilentMs ? null : contactMs
 }
--- a/test/decisions/membership/registries.test.ts
+++ b/test/decisions/membership/registries.test.ts
@@ -35,6 +35,18 @@
   })
 }
 
+t.test('the contact of an instance begins anew after a gap between its heartbeats, and with a new incarnation', async (t) => {
+  const blackboard = createBlackboard()
+  let now = 0
+  const registry = createInstanceRegistry({ blackboard, clock: { now: () => milliseconds(now) } })
+  const steps = [{ at: 0, run: 'a', since: 0 }, { at: 900, run: 'a', since: 0 }, { at: 1500, run: 'a', since: 0 }, { at: 2700, run: 'a', since: 2700 }, { at: 3200, run: 'b', since: 3200 }]
+  for (const [index, { at, run, since }] of steps.entries()) {
+    now = at
+    registry.handle(buildHeartbeat(index + 1, { incarnation: incarnationId(run) }))
+    t.equal(blackboard.reader(registeredInstancesEntry).read().get(instanceId('i'))?.inContactSince, milliseconds(since), `at ${at}`)
+  }
+})
+
 interface AnnouncementStep { at: number, run: string, departing: boolean, outcome: string }
 
 const announcementCases: { name: string, steps: AnnouncementStep[], departing: boolean | undefined, until: number }[] = [
--- a/test/decisions/promotion/promotion-controller.test.ts
+++ b/test/decisions/promotion/promotion-controller.test.ts
@@ -2,142 +2,13 @@
 // promotes. They come about when instances still use the former primary, when the authority executes a promote order late, or when
 // positions are compared while replicas still receive.
 import t from 'tap'
-import { createBlackboard } from '../../../src/blackboard/blackboard.js'
-import {
-  databaseWeightsEntry, connectionHoldersEntry, leadershipEntry, publishedDirectoryEntry, registeredDatabasesEntry, registeredInstancesEntry, replicatedStateEntry
-} from '../../../src/blackboard/control-instance-entries.js'
-import type { RegisteredDatabase, RegisteredInstance } from '../../../src/blackboard/control-instance-entries.js'
 import type { FailoverEffect, GroupCommand, SentOrder } from '../../../src/decisions/failover/failover-message.js'
 import { buildAnnouncedStatus } from '../../../src/decisions/membership/announcement-classification.js'
-import { PROMOTION_REFUSED, createPromotionController } from '../../../src/decisions/promotion/promotion-controller.js'
-import { milliseconds } from '../../../src/types/clock.js'
-import type { Directory, GroupPhase } from '../../../src/types/directory.js'
-import type { DatabaseId, InstanceId } from '../../../src/types/ids.js'
-import { address, databaseId, failureDomainId, groupId, instanceId } from '../../../src/types/ids.js'
-import type { ReplicatedGroup } from '../../../src/types/replicated-state.js'
-import { createEmptyServiceLevels } from '../../../src/types/service-level.js'
-import { createFakeClock } from '../../support/fake-clock.js'
-import { buildRegisteredInstance } from '../failover/fixtures/group-harness.js'
+import { PROMOTION_REFUSED } from '../../../src/decisions/promotion/promotion-controller.js'
+import { databaseId } from '../../../src/types/ids.js'
+import { LEASE_END_MS, createHarness, findCommand, findOrder, losePrimary, ordersIn } from './fixtures/promotion-harness.js'
 
-const GROUP = groupId('g')
-const LEASE_END_MS = 2000
-const ANNOUNCEMENT_MS = 1000
-
-/** One group with the databases p, r and s. The test simulates the log, the databases, the authority and the instances. */
-function createHarness (options: { acknowledgingReplicas?: number, replicated?: Partial<ReplicatedGroup> } = {}) {
-  const clock = createFakeClock(100_000)
-  const blackboard = createBlackboard()
-  const leadership = blackboard.claim(leadershipEntry, 'test')
-  const state = blackboard.claim(replicatedStateEntry, 'test')
-  const databases = blackboard.claim(registeredDatabasesEntry, 'test')
-  const weights = blackboard.claim(databaseWeightsEntry, 'test')
-  const directory = blackboard.claim(publishedDirectoryEntry, 'test')
-  const instances = blackboard.claim(registeredInstancesEntry, 'test')
-  blackboard.claim(connectionHoldersEntry, 'test')
-  leadership.write({ term: 1, since: milliseconds(0) })
-  weights.write(new Map(['p', 'r', 's'].map((name) => [databaseId(name), 1])))
-  let group: ReplicatedGroup = { group: GROUP, term: 1, primary: databaseId('p'), phase: 'serving', ...options.replicated }
-  let counter = 0
-  let sequence = 0
-  const promotion = createPromotionController({ blackboard, clock, times: { leaseEndMs: LEASE_END_MS, announcementMs: ANNOUNCEMENT_MS } })
-
-  function writeState (): void {
-    const groups = [{ id: GROUP, slots: 1, connections: 30, acknowledgingReplicas: options.acknowledgingReplicas }]
-    state.write({
-      manifestVersion: 1,
-      manifest: { formatVersion: 1, failureDomains: [], groups, workspaces: [], routes: [] },
-      acceptedDigests: [],
-      manifestDocument: null,
-      withdrawnDomains: [],
-      databases: [],
-      instances: [],
-      serviceLevels: createEmptyServiceLevels(),
-      groups: [group]
-    })
-  }
-
-  function announce (name: string, role: 'primary' | 'replica'): FailoverEffect[] {
-    const id = databaseId(name)
-    const status = buildAnnouncedStatus(id, 1, role)
-    const announcement = { database: id, group: GROUP, address: address(`${name}:1`), failureDomain: failureDomainId(name), departing: false, run: { startedAt: 1, sequence: ++sequence, gone: false }, status }
-    const registered: RegisteredDatabase = { announcement, departing: false, announcedAt: clock.now(), status, statusAt: clock.now() }
-    databases.write(new Map([...databases.read(), [id, registered]]))
-    return promotion.tick()
-  }
-
-  function publish (phase: GroupPhase): FailoverEffect[] {
-    const published: Directory = { version: { leaderTerm: 1, counter: ++counter }, instances: [], databases: [], groups: [{ group: GROUP, term: group.term, primary: group.primary, phase, holders: [] }] }
-    directory.write(published)
-    return promotion.handle({ kind: 'directory-published', directory: published })
-  }
-
-  /** Delivers the heartbeat of an instance that has the newest directory, unless `changes` name an older one. */
-  function report (name: string, releasedTerm: number, changes: Partial<RegisteredInstance> = {}): FailoverEffect[] {
-    const instance = buildRegisteredInstance(name, { lastHeartbeatAt: clock.now(), directoryVersion: { leaderTerm: 1, counter }, releasedTerms: [{ group: GROUP, term: releasedTerm }], ...changes })
-    instances.write(new Map<InstanceId, RegisteredInstance>([...instances.read(), [instanceId(name), instance]]))
-    return promotion.handle({ kind: 'heartbeat-arrived' })
-  }
-
-  const silence = (name: string, silentForMs: number): Partial<RegisteredInstance> => ({ observations: new Map([[databaseId(name), { status: null, silentForMs, arrivedAt: clock.now() }]]) })
-
-  /** Commits a proposal, answers it and publishes the directory, as the log and the coordinator do. */
-  function acceptProposal (command: GroupCommand): FailoverEffect[] {
-    group = command.kind === 'begin-election'
-      ? { group: GROUP, term: command.term, primary: null, phase: 'electing' }
-      : { group: GROUP, term: command.term, primary: command.database, phase: 'serving' }
-    writeState()
-    const effects = promotion.handle({ kind: 'proposal-answered', leaderTerm: 1, command, answer: { kind: 'group-changed', group } })
-    return [...effects, ...publish(group.phase)]
-  }
-
-  /** @param historyTerm - term of the newest promotion that the database knows of */
-  function answerStatus (order: SentOrder, offset: number, role: 'primary' | 'replica' = 'replica', historyTerm = 1): FailoverEffect[] {
-    const fencedTerm = order.action.kind === 'fence' ? order.action.term : 0
-    const status = { ...buildAnnouncedStatus(order.database, 1, role), term: historyTerm, fencedTerm, position: { term: 1, offset } }
-    return promotion.handle({ kind: 'order-answered', order, status })
-  }
-
-  writeState()
-  for (const name of ['p', 'r', 's']) announce(name, name === 'p' ? 'primary' : 'replica')
-  publish(group.phase)
-  return {
-    clock,
-    promotion,
-    announce,
-    publish,
-    report,
-    silence,
-    acceptProposal,
-    answerStatus,
-    setWeight: (name: string, weight: number) => { weights.write(new Map([...weights.read(), [databaseId(name), weight]])) },
-    advance: (durationMs: number) => {
-      clock.advance(durationMs)
-      return promotion.tick()
-    },
-    /** Starts a new leadership of this member. */
-    startLeadership: (term: number) => {
-      leadership.write({ term, since: clock.now() })
-      promotion.reset()
-    }
-  }
-}
-
-const ordersIn = (effects: readonly FailoverEffect[], kind: string): SentOrder[] => effects.flatMap((effect) => effect.kind === 'order' && effect.order.action.kind === kind ? [effect.order] : [])
-const findCommand = (effects: readonly FailoverEffect[]): GroupCommand | undefined => effects.flatMap((effect) => effect.kind === 'propose' ? [effect.command] : [])[0]
-const findOrder = (orders: readonly SentOrder[], name: string): SentOrder => orders.find(({ database }) => database === name as DatabaseId) as SentOrder
-
-/** Lets the group lose its primary, and answers the status queries of the election. @returns the effects of the last answer */
-function losePrimary (harness: ReturnType<typeof createHarness>, offsets: Record<string, number>): FailoverEffect[] {
-  harness.clock.advance(500)
-  for (const name of ['a', 'b', 'c']) harness.report(name, 0, harness.silence('p', 450))
-  const command = findCommand(harness.advance(100)) as GroupCommand
-  harness.acceptProposal(command)
-  for (const name of ['a', 'b']) harness.report(name, 1)
-  const statusOrders = ordersIn(harness.report('c', 1), 'status')
-  let effects: FailoverEffect[] = []
-  for (const [name, offset] of Object.entries(offsets)) effects = harness.answerStatus(findOrder(statusOrders, name), offset)
-  return effects
-}
+import { ANNOUNCEMENT_MS, GROUP, LEASE_END_MS, createHarness, findCommand, findOrder, losePrimary, ordersIn } from './fixtures/promotion-harness.js'
 
 t.test('a lost primary is replaced by the replica with the furthest position, with the term as fencing token', async (t) => {
   const harness = createHarness()
@@ -184,29 +55,6 @@
   t.match(ordersIn(harness.advance(4000), 'promote'), [{ database: 'p' }], 'the group does not stay without a primary')
 })
 
-t.test('silence to a minority of the instances, or silence before an announcement, replaces no primary', async (t) => {
-  const minority = createHarness()
-  minority.clock.advance(500)
-  minority.report('a', 0, minority.silence('p', 450))
-  for (const name of ['b', 'c']) minority.report(name, 0, minority.silence('p', 0))
-  t.equal(findCommand(minority.advance(100)), undefined)
-  const announced = createHarness()
-  announced.clock.advance(500)
-  announced.announce('p', 'primary')
-  for (const name of ['a', 'b', 'c']) announced.report(name, 0, announced.silence('p', 450))
-  t.equal(findCommand(announced.advance(100)), undefined)
-})
-
-t.test('silence to a single instance replaces no primary while others are registered; silence to two does', async (t) => {
-  const harness = createHarness()
-  harness.clock.advance(500)
-  for (const name of ['b', 'c', 'd']) harness.report(name, 0)
-  harness.report('a', 0, harness.silence('p', 450))
-  t.equal(findCommand(harness.advance(100)), undefined)
-  harness.report('b', 0, harness.silence('p', 450))
-  t.match(findCommand(harness.advance(100)), { kind: 'begin-election' })
-})
-
 t.test('no promotion is ordered before every instance has released the old term, or its lease has expired', async (t) => {
   const harness = createHarness()
   harness.clock.advance(500)
