--- a/test/decisions/promotion/promotion-controller.test.ts
+++ b/test/decisions/promotion/promotion-controller.test.ts
@@ -8,8 +8,6 @@
 import { databaseId } from '../../../src/types/ids.js'
 import { LEASE_END_MS, createHarness, findCommand, findOrder, losePrimary, ordersIn } from './fixtures/promotion-harness.js'
 
-import { ANNOUNCEMENT_MS, GROUP, LEASE_END_MS, createHarness, findCommand, findOrder, losePrimary, ordersIn } from './fixtures/promotion-harness.js'
-
 t.test('a lost primary is replaced by the replica with the furthest position, with the term as fencing token', async (t) => {
   const harness = createHarness()
   const [order] = ordersIn(losePrimary(harness, { r: 8, s: 9 }), 'promote')
