limits: a few instances hold each rate in small fleets too

Change: three instances hold a rate from 4 instances on, two a rate below 100/s; before, selection began at 17 instances. An operation still requests a token of two holders before it is refused. The fleet simulation requests tokens the same way; the safety property (no more than rate and burst in any partition) runs over both ways of holding.

The HTTP interface still divides every rate among all instances.

--- a/measure/share-fleet.ts
+++ b/measure/share-fleet.ts
@@ -2,6 +2,9 @@
 import type { LeasedShare } from '../src/blackboard/entry-instance-entries.js'
 import { manifestEntry, sharesEntry } from '../src/blackboard/entry-instance-entries.js'
 import { createShareAllocator } from '../src/decisions/limits/share-allocator.js'
+import { orderRateHolders } from '../src/decisions/limits/order-rate-holders.js'
+import type { RateHolderCandidate } from '../src/decisions/limits/select-rate-holders.js'
+import { MAX_RATE_HOLDER_REFUSALS } from '../src/decisions/limits/select-rate-holders.js'
 import type { SendHeartbeat, ShareHolder } from '../src/decisions/limits/share-holder.js'
 import { createShareHolder } from '../src/decisions/limits/share-holder.js'
 import type { TokenBuckets } from '../src/decisions/limits/token-buckets.js'
@@ -43,6 +46,8 @@
   confirmMs: number
   /** Number of instances among which each rate is split into equal, fixed shares; null to use the share allocator. */
   staticParts: number | null
+  /** Selects the instances that hold shares of a rate; null: all. The others request tokens of them. Default: all. */
+  selectHolders?: (workspace: WorkspaceId, rate: number, instances: readonly RateHolderCandidate[]) => readonly InstanceId[] | null
   /** Resources that are shared in whole units, in addition to the rates. Default: none. */
   wholeResources?: WholeResource[]
 }
@@ -92,12 +97,14 @@
 
 const HEARTBEAT_INTERVAL_MS = 500
 const TICK_INTERVAL_MS = 50
+/** Longest wait for a token at one rate holder. */
+const TOKEN_REQUEST_MS = 150
 /** Keeps a rounding error from running a limiter tick just before its request is due. */
 const TIMER_SLACK_MS = 0.01
 
-function buildResourceSizes (workspaces: readonly FleetWorkspace[], wholeResources: readonly WholeResource[]): Map<ResourceId, ResourceSize> {
+function buildResourceSizes (workspaces: readonly FleetWorkspace[], wholeResources: readonly WholeResource[], holdersOf: (workspace: WorkspaceId) => readonly InstanceId[] | null): Map<ResourceId, ResourceSize> {
   const sizes = new Map<ResourceId, ResourceSize>()
-  for (const { id, rate, burst } of workspaces) sizes.set(resourceId('rate', id), { amount: rate, burst, whole: false, eligible: null })
+  for (const { id, rate, burst } of workspaces) sizes.set(resourceId('rate', id), { amount: rate, burst, whole: false, eligible: holdersOf(id) })
   for (const { resource, amount } of wholeResources) sizes.set(resource, { amount, burst: 0, whole: true, eligible: null })
   return sizes
 }
@@ -108,15 +115,25 @@
   const wholeResources = options.wholeResources ?? []
   const instances = new Set<FleetInstance>()
   const limiterWakeTimes = new Map<FleetInstance, number>()
+  /** Rate holders of which a request has not asked for a token yet. */
+  const furtherHolders = new Map<RequestId, FleetInstance[]>()
   let workspaces = options.workspaces
   let leader: Leader = { term: 0, allocator: createLeader(0) }
   let heartbeatCount = 0
   let incarnationCount = 0
   let requestCount = 0
 
+  function holdersOf (workspace: WorkspaceId): readonly InstanceId[] | null {
+    return options.selectHolders?.(workspace, workspaces.find(({ id }) => id === workspace)?.rate ?? 0, [...instances]) ?? null
+  }
+
+  function buildSizes (): Map<ResourceId, ResourceSize> {
+    return buildResourceSizes(workspaces, wholeResources, holdersOf)
+  }
+
   function createLeader (term: number): ShareAllocator {
     const allocator = createShareAllocator({ clock: { now: () => milliseconds(simulation.now()) } })
-    allocator.setResources(buildResourceSizes(workspaces, wholeResources))
+    allocator.setResources(buildSizes())
     allocator.becomeLeader(term)
     return allocator
   }
@@ -160,6 +177,7 @@
     for (const effect of effects) {
       if (effect.kind === 'send-heartbeat') instance.sendHeartbeat()
       if (effect.kind === 'request-share') applyEffects(instance, instance.holder.handle({ kind: 'demand-changed' }))
+      if (effect.kind === 'refused' && requestNextHolder(effect)) continue
       if (effect.kind === 'admitted') onOutcome({ workspace: workspaceOf(effect.requestId), requestId: effect.requestId, isAdmitted: true, isWrongful: false, waitedMs: effect.waitedMs, at: simulation.now() })
       if (effect.kind === 'refused') onOutcome({ workspace: effect.workspace, requestId: effect.requestId, isAdmitted: false, isWrongful: effect.wrongful, waitedMs: 0, at: simulation.now() })
     }
@@ -213,6 +231,7 @@
     }
     if (staticParts !== null) installStaticShares(staticParts)
     instances.add(instance)
+    leader.allocator.setResources(buildSizes())
     repeat(instance, HEARTBEAT_INTERVAL_MS, instance.sendHeartbeat)
     repeat(instance, TICK_INTERVAL_MS, () => applyEffects(instance, [...limiter.tick(), ...holder.tick()]))
     instance.sendHeartbeat()
@@ -248,15 +267,39 @@
     })
   }
 
-  function request (instance: FleetInstance, workspace: WorkspaceId, timeoutMs = 5000): void {
+  function requestFrom (instance: FleetInstance, id: RequestId, workspace: WorkspaceId, timeoutMs: number): void {
+    if (!instance.isAlive) return
     const deadline = addTime(milliseconds(instance.now()), timeoutMs)
-    applyEffects(instance, instance.limiter.handle({ kind: 'admit', requestId: requestId(`${requestCount++}:${workspace}`), workspace, deadline }))
+    applyEffects(instance, instance.limiter.handle({ kind: 'admit', requestId: id, workspace, deadline }))
     scheduleLimiterTick(instance)
   }
 
+  /** Requests a token of the next rate holder after a refusal. @returns whether there is one to request it of */
+  function requestNextHolder ({ requestId: id, workspace }: { requestId: RequestId, workspace: WorkspaceId }): boolean {
+    const next = furtherHolders.get(id)?.shift()
+    if (next === undefined) {
+      furtherHolders.delete(id)
+      return false
+    }
+    deliver(() => { requestFrom(next, id, workspace, TOKEN_REQUEST_MS) })
+    return true
+  }
+
+  function request (instance: FleetInstance, workspace: WorkspaceId, timeoutMs = 5000): void {
+    const id = requestId(`${requestCount++}:${workspace}`)
+    const names = holdersOf(workspace)
+    if (names === null) return requestFrom(instance, id, workspace, timeoutMs)
+    const holders = orderRateHolders(instance.instance, [...instances].filter((candidate) => names.includes(candidate.instance)), requestCount, (holder) => holder.instance)
+    const [first, ...others] = holders.slice(0, MAX_RATE_HOLDER_REFUSALS)
+    if (first === undefined) return
+    furtherHolders.set(id, others)
+    if (first === instance) requestFrom(first, id, workspace, TOKEN_REQUEST_MS)
+    else deliver(() => { requestFrom(first, id, workspace, TOKEN_REQUEST_MS) })
+  }
+
   function setWorkspaces (next: FleetWorkspace[]): void {
     workspaces = next
-    leader.allocator.setResources(buildResourceSizes(next, wholeResources))
+    leader.allocator.setResources(buildSizes())
   }
 
   function tickLeader (): void {
@@ -273,6 +316,7 @@
     stop: (instance) => {
       instance.isAlive = false
       instances.delete(instance)
+      leader.allocator.setResources(buildSizes())
     },
     electLeader,
     setWorkspaces,
--- a/measure/share-scenario.ts
+++ b/measure/share-scenario.ts
@@ -1,3 +1,4 @@
+import { selectRateHolders } from '../src/decisions/limits/select-rate-holders.js'
 import { instanceId, workspaceId } from '../src/types/ids.js'
 import type { FleetInstance, FleetOutcome, FleetWorkspace, ShareFleetOptions } from './share-fleet.js'
 import { createShareFleet } from './share-fleet.js'
@@ -16,6 +17,8 @@
   durationMs: number
   /** Number of instances among which each rate is split into equal, fixed shares; null to use the share allocator. */
   staticParts: number | null
+  /** Selects the instances that hold shares of a rate; null: all. Default: the selection of the product. */
+  selectHolders?: ShareFleetOptions['selectHolders']
 }
 
 /** Request counts of one workspace. */
@@ -88,7 +91,7 @@
     if (waitedMs > 0) count.waited++
   }
 
-  const options: ShareFleetOptions = { simulation, workspaces, onOutcome, delay: () => ONE_WAY_DELAY_MS, confirmMs, staticParts }
+  const options: ShareFleetOptions = { simulation, workspaces, onOutcome, delay: () => ONE_WAY_DELAY_MS, confirmMs, staticParts, selectHolders: scenario.selectHolders ?? (staticParts === null ? selectRateHolders : () => null) }
   const fleet = createShareFleet(options)
   const fleetInstances: FleetInstance[] = []
   for (let index = 0; index < instances; index++) {
--- a/src/control/coordinator-options.ts
+++ b/src/control/coordinator-options.ts
@@ -31,7 +31,7 @@
    */
   holders?: 'placed' | 'every-instance'
   /** @returns the instances among which the leader divides the rate of a workspace; null: all instances. Default: all. */
-  selectRateHolders?: (workspace: WorkspaceId, instances: readonly DirectoryInstance[]) => readonly InstanceId[] | null
+  selectRateHolders?: (workspace: WorkspaceId, rate: number, instances: readonly DirectoryInstance[]) => readonly InstanceId[] | null
   /** Time without a heartbeat after which an instance is lost, in ms. Default: one freshness lease with drift. */
   instanceLostMs?: number
   /** Whether the leader records an instance in the control log before it grants shares to it. Default false. */
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -259,7 +259,7 @@
       databases: readers.databases.read(),
       holders: readers.holders.read(),
       hasDatabaseShares: isPlacingHolders,
-      rateHolders: (workspace) => options.selectRateHolders?.(workspace, listedInstances) ?? null,
+      rateHolders: (workspace, rate) => options.selectRateHolders?.(workspace, rate, listedInstances) ?? null,
       rateTolerance: options.rateTolerance
     }))
   }
--- a/src/control/share-resources.ts
+++ b/src/control/share-resources.ts
@@ -20,7 +20,7 @@
   /** Whether the leader divides slots and connections of databases; otherwise it divides only rates. */
   hasDatabaseShares: boolean
   /** @returns instances that may hold a share of the rate; null: all. Default: all. */
-  rateHolders?: (workspace: WorkspaceId) => readonly InstanceId[] | null
+  rateHolders?: (workspace: WorkspaceId, rate: number) => readonly InstanceId[] | null
   /** Excess that a workspace may get over its rate and burst; default: none. */
   rateTolerance?: RateTolerance | undefined
 }
@@ -40,7 +40,7 @@
   const resources = new Map<ResourceId, ResourceSize>()
   if (manifest === null) return resources
   for (const { id, rate, burst } of manifest.workspaces) {
-    resources.set(resourceId('rate', id), { amount: rate * (1 + rateTolerance.share), burst: burst * (1 + rateTolerance.share) + rateTolerance.requests, whole: false, eligible: rateHolders(id) })
+    resources.set(resourceId('rate', id), { amount: rate * (1 + rateTolerance.share), burst: burst * (1 + rateTolerance.share) + rateTolerance.requests, whole: false, eligible: rateHolders(id, rate) })
   }
   if (!hasDatabaseShares) return resources
   const groups = new Map(manifest.groups.map((group) => [group.id, group]))
--- a/src/decisions/caller-sessions/endpoint-index.ts
+++ b/src/decisions/caller-sessions/endpoint-index.ts
@@ -21,6 +21,8 @@
   authorize: (endpointName: string, keyDigest: string | null) => SessionGrant | SessionRefusal
   /** @returns number of connections that each database of a group accepts; 1 for an unknown group */
   connectionLimit: (group: GroupId) => number
+  /** @returns rate of a workspace in requests per second; 0 for an unknown workspace */
+  rateOf: (workspace: WorkspaceId) => number
 }
 
 /** Creates the index. It is rebuilt whenever a manifest comes into force. */
@@ -30,6 +32,7 @@
   let endpoints = new Map<string, SessionEndpoint>()
   let workspaces = new Map<string, WorkspaceId>()
   let connectionLimits = new Map<GroupId, number>()
+  let rates = new Map<WorkspaceId, number>()
 
   function rebuild (): void {
     const inForce = manifest.read()
@@ -43,6 +46,7 @@
       if (other === undefined || endpoint.path.length < other.path.length) endpoints.set(endpoint.name, endpoint)
     }
     workspaces = new Map(listedWorkspaces.flatMap(({ id, keys }) => keys.map(({ digest }) => [digest, id] as const)))
+    rates = new Map(listedWorkspaces.map(({ id, rate }) => [id, rate]))
     connectionLimits = new Map(groups.map(({ id, connections }) => [id, connections]))
   }
 
@@ -59,5 +63,5 @@
 
   manifest.onWrite(rebuild)
   rebuild()
-  return { authorize, connectionLimit: (group) => connectionLimits.get(group) ?? 1 }
+  return { authorize, connectionLimit: (group) => connectionLimits.get(group) ?? 1, rateOf: (workspace) => rates.get(workspace) ?? 0 }
 }
--- a/src/decisions/limits/select-rate-holders.ts
+++ b/src/decisions/limits/select-rate-holders.ts
@@ -1,10 +1,15 @@
 import type { InstanceId, WorkspaceId } from '../../types/ids.js'
 import { rankByKey } from '../../utils/rank-by-key.js'
 
-/** In fleets of up to this size, every instance holds a share of every rate. No request then needs a hop for a token, and the leader still divides few shares. */
-const MAX_INSTANCES_WITHOUT_SELECTION = 16
-/** Rate holders of one workspace in larger fleets. With three, the loss of one leaves most of the rate usable. */
+/** Rate holders of one workspace. With three, the loss of one leaves most of the rate usable. */
 const HOLDERS_PER_RATE = 3
+/** Rate holders of a workspace below `SMALL_RATE_PER_SECOND`. */
+const HOLDERS_PER_SMALL_RATE = 2
+/** Rate in requests per second below which a third of it is smaller than the fluctuation of its demand. */
+const SMALL_RATE_PER_SECOND = 100
+
+/** Number of rate holders that may refuse one operation before it is refused. More are not needed, because the leader moves shares to where demand is. */
+export const MAX_RATE_HOLDER_REFUSALS = 2
 
 /** An instance that can become a rate holder. */
 export interface RateHolderCandidate {
@@ -13,12 +18,18 @@
 }
 
 /**
- * Selects the rate holders of a workspace by rendezvous hashing. The leader and all instances select the same ones from the same directory.
+ * Selects the rate holders of a workspace by rendezvous hashing. The leader and all instances select the same ones from the same directory
+ * and manifest.
+ *
+ * Few holders pool the tokens of a rate. Divided among all instances, a small rate leaves parts that are smaller than the fluctuation of
+ * their demand, so that requests within the rate are refused while tokens lie unused elsewhere.
+ * @param rate - rate of the workspace in requests per second
  * @param instances - all instances of the fleet; draining ones are not selected
  * @returns the rate holders, or null when every instance holds a share
  */
-export function selectRateHolders (workspace: WorkspaceId, instances: readonly RateHolderCandidate[]): InstanceId[] | null {
-  if (instances.length <= MAX_INSTANCES_WITHOUT_SELECTION) return null
+export function selectRateHolders (workspace: WorkspaceId, rate: number, instances: readonly RateHolderCandidate[]): InstanceId[] | null {
+  const count = rate < SMALL_RATE_PER_SECOND ? HOLDERS_PER_SMALL_RATE : HOLDERS_PER_RATE
+  if (instances.length <= count) return null
   const candidates = instances.filter(({ draining }) => !draining)
-  return rankByKey(workspace, candidates, ({ instance }) => instance).slice(0, HOLDERS_PER_RATE).map(({ instance }) => instance)
+  return rankByKey(workspace, candidates, ({ instance }) => instance).slice(0, count).map(({ instance }) => instance)
 }
--- a/src/entry/session-admission.ts
+++ b/src/entry/session-admission.ts
@@ -1,7 +1,8 @@
 import { NO_WORKSPACE } from '../decisions/caller-sessions/endpoint-index.js'
 import type { PeerCalls } from '../decisions/caller-sessions/borrowed-session.js'
 import { buildRefusalPromisingNothingKept } from '../decisions/caller-sessions/session-services.js'
-import { selectRateHolders } from '../decisions/limits/select-rate-holders.js'
+import { orderRateHolders } from '../decisions/limits/order-rate-holders.js'
+import { MAX_RATE_HOLDER_REFUSALS, selectRateHolders } from '../decisions/limits/select-rate-holders.js'
 import type { LimiterEffect, WorkspaceLimiter } from '../decisions/limits/workspace-limiter.js'
 import type { Clock, Milliseconds } from '../types/clock.js'
 import { addTime } from '../types/clock.js'
@@ -14,8 +15,6 @@
 
 /** Longest wait for the answer to a token request, in milliseconds: the wait for a token at the rate holder, and the round trip. */
 const TOKEN_REQUEST_TIMEOUT_MS = 150
-/** Number of rate holders that may refuse one operation before it is refused. More are not needed, because the leader moves shares to where demand is. */
-const MAX_RATE_HOLDER_REFUSALS = 2
 /** Retry time of a refusal when no rate holder was reachable, in milliseconds: the time within which the leader grants the share of a lost instance to others. */
 const NO_RATE_HOLDER_RETRY_MS = 500
 
@@ -26,6 +25,8 @@
   calls: PeerCalls
   /** @returns the instances of the directory in force */
   instances: () => readonly DirectoryInstance[]
+  /** @returns the rate of a workspace in requests per second by the manifest in force; 0 when the manifest does not name it */
+  rateOf: (workspace: WorkspaceId) => number
   /** Called when the demand for the rate of a workspace exceeds the share of this instance. */
   onDemandRise: () => void
 }
@@ -40,10 +41,10 @@
 }
 
 /** Creates the admission. It requests tokens from the rate holders of a workspace where only a few instances hold shares of its rate. */
-export function createSessionAdmission ({ clock, instance, limiter, calls, instances, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
+export function createSessionAdmission ({ clock, instance, limiter, calls, instances, rateOf, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
   const pending = new Map<RequestId, (refusal: SessionRefusal | null) => void>()
   let counter = 0
-  let rateHoldersByWorkspace = new Map<WorkspaceId, DirectoryInstance[] | null>()
+  let rateHoldersByWorkspace = new Map<WorkspaceId, { rate: number, rateHolders: DirectoryInstance[] | null }>()
   let indexedInstances: readonly DirectoryInstance[] | null = null
 
   function carryOut (effects: readonly LimiterEffect[]): void {
@@ -76,22 +77,15 @@
       indexedInstances = listed
       rateHoldersByWorkspace = new Map()
     }
+    const rate = rateOf(workspace)
     const known = rateHoldersByWorkspace.get(workspace)
-    if (known !== undefined) return known
-    const names = selectRateHolders(workspace, listed)
+    if (known?.rate === rate) return known.rateHolders
+    const names = selectRateHolders(workspace, rate, listed)
     const rateHolders = names === null ? null : names.flatMap((name) => listed.filter((candidate) => candidate.instance === name))
-    rateHoldersByWorkspace.set(workspace, rateHolders)
+    rateHoldersByWorkspace.set(workspace, { rate, rateHolders })
     return rateHolders
   }
 
-  /** Puts this instance first if it is a rate holder. The order of the others rotates with each operation, so that the shares of all rate holders are used evenly. */
-  function orderRateHolders (rateHolders: readonly DirectoryInstance[]): DirectoryInstance[] {
-    const own = rateHolders.filter((holder) => holder.instance === instance)
-    const others = rateHolders.filter((holder) => holder.instance !== instance && calls.canRequest(holder.instance))
-    const first = ++counter % Math.max(1, others.length)
-    return [...own, ...others.slice(first), ...others.slice(0, first)]
-  }
-
   async function admit (workspace: WorkspaceId, deadline: Milliseconds): Promise<SessionRefusal | null> {
     // The manifest sets no rate for callers that belong to no workspace.
     if (workspace === NO_WORKSPACE) return null
@@ -99,7 +93,8 @@
     if (rateHolders === null) return await admitFromOwnShare(workspace, deadline)
     let lastRefusal = buildRefusalPromisingNothingKept('notFresh', 'no instance that holds a share of the rate of the workspace could be reached', NO_RATE_HOLDER_RETRY_MS)
     let refusalCount = 0
-    for (const holder of orderRateHolders(rateHolders)) {
+    const reachable = rateHolders.filter((holder) => holder.instance === instance || calls.canRequest(holder.instance))
+    for (const holder of orderRateHolders(instance, reachable, ++counter, (candidate) => candidate.instance)) {
       if (refusalCount === MAX_RATE_HOLDER_REFUSALS) break
       const refusal = holder.instance === instance ? await admitFromOwnShare(workspace, deadline) : await requestToken(holder, workspace, deadline)
       if (refusal === null) return null
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -123,6 +123,7 @@
     limiter,
     calls,
     instances: () => directory.read()?.instances ?? NO_INSTANCES,
+    rateOf: endpoints.rateOf,
     onDemandRise: () => {
       ticks.markUrgent()
       requestHeartbeatFor(shareHolder.handle({ kind: 'demand-changed' }))
--- a/test/decisions/limits/share-safety.test.ts
+++ b/test/decisions/limits/share-safety.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check'
 import t from 'tap'
-import type { FleetInstance, FleetWorkspace, WholeResource } from '../../../measure/share-fleet.js'
+import type { FleetInstance, FleetWorkspace, ShareFleetOptions, WholeResource } from '../../../measure/share-fleet.js'
 import { createShareFleet } from '../../../measure/share-fleet.js'
+import { selectRateHolders } from '../../../src/decisions/limits/select-rate-holders.js'
 import { createSimulationRandom, createSimulation } from '../../../measure/simulation.js'
 import type { InstanceId } from '../../../src/types/ids.js'
 import { instanceId, resourceId, workspaceId } from '../../../src/types/ids.js'
@@ -38,7 +39,7 @@
 ]
 
 /** Simulates a fleet under faults, with more demand than rate. Returns the first violation, or null. */
-function runFleet (link: LinkCase, plan: Fault[], linkSeed: number): string | null {
+function runFleet (link: LinkCase, plan: Fault[], linkSeed: number, selectHolders: ShareFleetOptions['selectHolders'] = () => null): string | null {
   const random = createSimulationRandom(linkSeed)
   const simulation = createSimulation()
   const admissions: number[] = []
@@ -63,6 +64,7 @@
     delay,
     confirmMs: 3,
     staticParts: null,
+    selectHolders,
     wholeResources: [whole]
   })
   const start = (member: InstanceId): void => {
@@ -164,4 +166,11 @@
       if (violation !== null) throw new Error(violation)
     }), { seed, numRuns: 40 }))
   })
+
+  t.test(`the same holds where two instances hold the rate for the others, over ${link.name}`, async (t) => {
+    t.doesNotThrow(() => fc.assert(fc.property(faults, fc.integer({ min: 1, max: 1e6 }), (plan, linkSeed) => {
+      const violation = runFleet(link, plan, linkSeed, selectRateHolders)
+      if (violation !== null) throw new Error(violation)
+    }), { seed, numRuns: 40 }))
+  })
 }
--- a/test/entry/session-admission.test.ts
+++ b/test/entry/session-admission.test.ts
@@ -1,4 +1,4 @@
-// Tests where an operation gets its rate token: from the own share in small fleets, from a rate holder in large ones.
+// Tests where an operation gets its rate token: from the own share, or from a rate holder.
 // An operation that runs without a token exceeds the rate. One that is refused after a single attempt is refused although another rate holder may have tokens.
 import { err, ok } from 'neverthrow'
 import t from 'tap'
@@ -25,6 +25,7 @@
     clock,
     instance: instanceId(name),
     instances: () => instances,
+    rateOf: () => 200,
     onDemandRise: () => {},
     limiter: {
       handle: (message) => {
@@ -49,16 +50,18 @@
   return { admission, requestedHolders, limiterMessages, admit: () => admission.admit(workspace, addTime(clock.now(), 1000)) }
 }
 
-t.test('in a small fleet the instance takes the token from its own share', async (t) => {
-  const harness = createHarness(9, [])
+t.test('in a fleet no larger than the number of rate holders, the instance takes the token from its own share', async (t) => {
+  const harness = createHarness(3, [])
   t.equal(await harness.admit(), null)
   t.same([harness.requestedHolders.length, harness.limiterMessages.length], [0, 1])
 })
 
-t.test('in a large fleet the instance requests the token from a rate holder', async (t) => {
-  const harness = createHarness(67, [null])
-  t.equal(await harness.admit(), null)
-  t.same([harness.requestedHolders.length, harness.limiterMessages.length], [1, 0])
+t.test('an instance that holds no share requests the token from a rate holder', async (t) => {
+  for (const size of [8, 67]) {
+    const harness = createHarness(size, [null])
+    t.equal(await harness.admit(), null)
+    t.same([harness.requestedHolders.length, harness.limiterMessages.length], [1, 0])
+  }
 })
 
 t.test('after an unreachable rate holder or one refusal, the token is requested from the next rate holder', async (t) => {
