entry: an instance that control has not confirmed for a share lease admits nothing

Change: the admission refuses, with a promise that nothing is kept, once control's last confirmation is older than a share lease, and before the first confirmation of a new process.

Test: 'an instance that control has not confirmed for a share lease admits nothing, though others hold tokens' failed before.

--- a/src/blackboard/entry-instance-entries.ts
+++ b/src/blackboard/entry-instance-entries.ts
@@ -41,7 +41,7 @@
 /** Written by `directory-follower`. */
 export const directoryEntry = defineEntry<Directory | null>('directory', null)
 /** Written by `freshness-lease`. */
-export const freshnessEntry = defineEntry<FreshnessLease>('freshness', { confirmedAt: milliseconds(0), validUntil: milliseconds(0), leaderTerm: 0 })
+export const freshnessEntry = defineEntry<FreshnessLease>('freshness', { confirmedAt: milliseconds(-Infinity), validUntil: milliseconds(0), leaderTerm: 0 })
 /** Written by `share-holder`. */
 export const sharesEntry = defineEntry<ReadonlyMap<ResourceId, LeasedShare>>('shares', new Map())
 /** Written by `status-watcher`. A database that stopped answering keeps its last status. */
--- a/src/entry/session-admission.ts
+++ b/src/entry/session-admission.ts
@@ -1,6 +1,7 @@
 import { NO_WORKSPACE } from '../decisions/caller-sessions/endpoint-index.js'
 import type { PeerCalls } from '../decisions/caller-sessions/borrowed-session.js'
 import { buildRefusalPromisingNothingKept } from '../decisions/caller-sessions/session-services.js'
+import { SHARE_LEASE_MS } from '../decisions/limits/share-lease.js'
 import { orderRateHolders } from '../decisions/limits/order-rate-holders.js'
 import { MAX_RATE_HOLDER_REFUSALS, selectRateHolders } from '../decisions/limits/select-rate-holders.js'
 import type { LimiterEffect, WorkspaceLimiter } from '../decisions/limits/workspace-limiter.js'
@@ -27,6 +28,8 @@
   instances: () => readonly DirectoryInstance[]
   /** @returns the rate of a workspace in requests per second by the manifest in force; 0 when the manifest does not name it */
   rateOf: (workspace: WorkspaceId) => number
+  /** @returns when control last confirmed manifest and directory of this instance */
+  confirmedAt: () => Milliseconds
   /** Called when the demand for the rate of a workspace exceeds the share of this instance. */
   onDemandRise: () => void
 }
@@ -41,7 +44,7 @@
 }
 
 /** Creates the admission. It requests tokens from the rate holders of a workspace where only a few instances hold shares of its rate. */
-export function createSessionAdmission ({ clock, instance, limiter, calls, instances, rateOf, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
+export function createSessionAdmission ({ clock, instance, limiter, calls, instances, rateOf, confirmedAt, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
   const pending = new Map<RequestId, (refusal: SessionRefusal | null) => void>()
   let counter = 0
   let rateHoldersByWorkspace = new Map<WorkspaceId, { rate: number, rateHolders: DirectoryInstance[] | null }>()
@@ -89,6 +92,8 @@
   async function admit (workspace: WorkspaceId, deadline: Milliseconds): Promise<SessionRefusal | null> {
     // The manifest sets no rate for callers that belong to no workspace.
     if (workspace === NO_WORKSPACE) return null
+    // Own shares expire by then. Tokens of others do not, so without this limit a key withdrawn meanwhile would go on working here.
+    if (clock.now() - confirmedAt() > SHARE_LEASE_MS) return buildRefusalPromisingNothingKept('notFresh', 'control has not confirmed the configuration of this instance for too long', NO_RATE_HOLDER_RETRY_MS)
     const rateHolders = findRateHolders(workspace)
     if (rateHolders === null) return await admitFromOwnShare(workspace, deadline)
     let lastRefusal = buildRefusalPromisingNothingKept('notFresh', 'no instance that holds a share of the rate of the workspace could be reached', NO_RATE_HOLDER_RETRY_MS)
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -124,6 +124,7 @@
     calls,
     instances: () => directory.read()?.instances ?? NO_INSTANCES,
     rateOf: endpoints.rateOf,
+    confirmedAt: () => freshness.read().confirmedAt,
     onDemandRise: () => {
       ticks.markUrgent()
       requestHeartbeatFor(shareHolder.handle({ kind: 'demand-changed' }))
--- a/test/entry/session-admission.test.ts
+++ b/test/entry/session-admission.test.ts
@@ -14,7 +14,7 @@
 const refused: SessionRefusal = { result: 'rateExceeded', promise: 'nothing-kept', message: 'used up', retryAfterMs: 30 }
 
 /** Creates the admission of one instance in a fleet of `size` instances. `answers` are those of the rate holders, in the order of the requests. */
-function createHarness (size: number, answers: (SessionRefusal | null | 'unsent')[], name = 'nobody') {
+function createHarness (size: number, answers: (SessionRefusal | null | 'unsent')[], name = 'nobody', confirmedMsAgo = 0) {
   const clock = createFakeClock()
   const instances: DirectoryInstance[] = Array.from({ length: size }, (_, index) => ({
     instance: instanceId(`e${index}`), incarnation: incarnationId(`e${index}.1`), peerAddress: address(`e${index}:1`), failureDomain: failureDomainId('f'), draining: false
@@ -26,6 +26,7 @@
     instance: instanceId(name),
     instances: () => instances,
     rateOf: () => 200,
+    confirmedAt: () => addTime(clock.now(), -confirmedMsAgo),
     onDemandRise: () => {},
     limiter: {
       handle: (message) => {
@@ -75,3 +76,11 @@
   t.equal(harness.requestedHolders.length, 2)
   t.match(await createHarness(67, ['unsent', 'unsent', 'unsent']).admit(), { result: 'notFresh', promise: 'nothing-kept' })
 })
+
+t.test('an instance that control has not confirmed for a share lease admits nothing, though others hold tokens', async (t) => {
+  const current = createHarness(67, [null], 'nobody', 3999)
+  t.equal(await current.admit(), null)
+  const cutOff = createHarness(67, [null], 'nobody', 4001)
+  t.match(await cutOff.admit(), { result: 'notFresh', promise: 'nothing-kept' }, 'its manifest may name a key that was withdrawn since')
+  t.same(cutOff.requestedHolders, [])
+})
