limits: rate holders in different failure domains, the near one asked first

Tests: 'the holders of a rate are in different failure domains' and 'a rate holder of the own failure domain is asked first' (both new, with the function that they call).

--- a/measure/share-fleet.ts
+++ b/measure/share-fleet.ts
@@ -13,8 +13,8 @@
 import { createWorkspaceLimiter } from '../src/decisions/limits/workspace-limiter.js'
 import { addTime, milliseconds } from '../src/types/clock.js'
 import type { HeartbeatAnswer } from '../src/types/control-message.js'
-import type { IncarnationId, InstanceId, RequestId, ResourceId, WorkspaceId } from '../src/types/ids.js'
-import { groupId, incarnationId, requestId, resourceId } from '../src/types/ids.js'
+import type { FailureDomainId, IncarnationId, InstanceId, RequestId, ResourceId, WorkspaceId } from '../src/types/ids.js'
+import { failureDomainId, groupId, incarnationId, requestId, resourceId } from '../src/types/ids.js'
 import type { ResourceSize, ShareAllocator } from '../src/types/share-allocator.js'
 import type { Simulation } from './simulation.js'
 
@@ -63,6 +63,7 @@
 /** One incarnation of an entry instance. */
 export interface FleetInstance {
   instance: InstanceId
+  failureDomain: FailureDomainId
   incarnation: IncarnationId
   limiter: WorkspaceLimiter
   holder: ShareHolder
@@ -207,6 +208,8 @@
     let sequence = 0
     const instance: FleetInstance = {
       instance: id,
+      // Each instance is a failure domain of its own.
+      failureDomain: failureDomainId(id),
       incarnation: incarnationId(`${id}-${incarnationCount++}`),
       limiter,
       holder,
@@ -289,7 +292,7 @@
     const id = requestId(`${requestCount++}:${workspace}`)
     const names = holdersOf(workspace)
     if (names === null) return requestFrom(instance, id, workspace, timeoutMs)
-    const holders = orderRateHolders(instance.instance, [...instances].filter((candidate) => names.includes(candidate.instance)), requestCount, (holder) => holder.instance)
+    const holders = orderRateHolders(instance, [...instances].filter((candidate) => names.includes(candidate.instance)), requestCount)
     const [first, ...others] = holders.slice(0, MAX_RATE_HOLDER_REFUSALS)
     if (first === undefined) return
     furtherHolders.set(id, others)
--- a/src/decisions/limits/select-rate-holders.ts
+++ b/src/decisions/limits/select-rate-holders.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, WorkspaceId } from '../../types/ids.js'
+import type { FailureDomainId, InstanceId, WorkspaceId } from '../../types/ids.js'
 import { rankByKey } from '../../utils/rank-by-key.js'
 
 /** Rate holders of one workspace. With three, the loss of one leaves most of the rate usable. */
@@ -14,6 +14,7 @@
 /** An instance that can become a rate holder. */
 export interface RateHolderCandidate {
   instance: InstanceId
+  failureDomain: FailureDomainId
   draining: boolean
 }
 
@@ -31,5 +32,16 @@
   const count = rate < SMALL_RATE_PER_SECOND ? HOLDERS_PER_SMALL_RATE : HOLDERS_PER_RATE
   if (instances.length <= count) return null
   const candidates = instances.filter(({ draining }) => !draining)
-  return rankByKey(workspace, candidates, ({ instance }) => instance).slice(0, count).map(({ instance }) => instance)
+  return spreadOverFailureDomains(rankByKey(workspace, candidates, ({ instance }) => instance)).slice(0, count).map(({ instance }) => instance)
+}
+
+/** Moves the first instance of each failure domain to the front, so that the loss of one failure domain leaves a part of every rate usable. */
+function spreadOverFailureDomains (ranked: readonly RateHolderCandidate[]): RateHolderCandidate[] {
+  const seenDomains = new Set<FailureDomainId>()
+  const firsts = ranked.filter(({ failureDomain }) => {
+    const isFirst = !seenDomains.has(failureDomain)
+    seenDomains.add(failureDomain)
+    return isFirst
+  })
+  return [...firsts, ...ranked.filter((candidate) => !firsts.includes(candidate))]
 }
--- a/src/entry/session-admission.ts
+++ b/src/entry/session-admission.ts
@@ -8,7 +8,7 @@
 import type { Clock, Milliseconds } from '../types/clock.js'
 import { addTime } from '../types/clock.js'
 import type { DirectoryInstance } from '../types/directory.js'
-import type { InstanceId, RequestId, WorkspaceId } from '../types/ids.js'
+import type { FailureDomainId, InstanceId, RequestId, WorkspaceId } from '../types/ids.js'
 import { requestId } from '../types/ids.js'
 import { resultNameOf } from '../types/result-code.js'
 import type { SessionRefusal } from '../types/session-statement.js'
@@ -22,6 +22,7 @@
 export interface SessionAdmissionOptions {
   clock: Clock
   instance: InstanceId
+  failureDomain: FailureDomainId
   limiter: WorkspaceLimiter
   calls: PeerCalls
   /** @returns the instances of the directory in force */
@@ -44,7 +45,7 @@
 }
 
 /** Creates the admission. It requests tokens from the rate holders of a workspace where only a few instances hold shares of its rate. */
-export function createSessionAdmission ({ clock, instance, limiter, calls, instances, rateOf, confirmedAt, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
+export function createSessionAdmission ({ clock, instance, failureDomain, limiter, calls, instances, rateOf, confirmedAt, onDemandRise }: SessionAdmissionOptions): SessionAdmission {
   const pending = new Map<RequestId, (refusal: SessionRefusal | null) => void>()
   let counter = 0
   let rateHoldersByWorkspace = new Map<WorkspaceId, { rate: number, rateHolders: DirectoryInstance[] | null }>()
@@ -99,7 +100,7 @@
     let lastRefusal = buildRefusalPromisingNothingKept('notFresh', 'no instance that holds a share of the rate of the workspace could be reached', NO_RATE_HOLDER_RETRY_MS)
     let refusalCount = 0
     const reachable = rateHolders.filter((holder) => holder.instance === instance || calls.canRequest(holder.instance))
-    for (const holder of orderRateHolders(instance, reachable, ++counter, (candidate) => candidate.instance)) {
+    for (const holder of orderRateHolders({ instance, failureDomain }, reachable, ++counter)) {
       if (refusalCount === MAX_RATE_HOLDER_REFUSALS) break
       const refusal = holder.instance === instance ? await admitFromOwnShare(workspace, deadline) : await requestToken(holder, workspace, deadline)
       if (refusal === null) return null
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -120,6 +120,7 @@
   const admission = createSessionAdmission({
     clock,
     instance,
+    failureDomain,
     limiter,
     calls,
     instances: () => directory.read()?.instances ?? NO_INSTANCES,
--- a/test/decisions/limits/select-rate-holders.test.ts
+++ b/test/decisions/limits/select-rate-holders.test.ts
@@ -1,10 +1,10 @@
 import t from 'tap'
 import { selectRateHolders } from '../../../src/decisions/limits/select-rate-holders.js'
-import { instanceId, workspaceId } from '../../../src/types/ids.js'
+import { failureDomainId, instanceId, workspaceId } from '../../../src/types/ids.js'
 
 // If rates were not spread over a fleet, or a draining instance held one, its failure or departure would leave workspaces without a rate.
 
-const fleet = (size: number) => Array.from({ length: size }, (_, index) => ({ instance: instanceId(`e${index}`), draining: index === 3 }))
+const fleet = (size: number) => Array.from({ length: size }, (_, index) => ({ instance: instanceId(`e${index}`), failureDomain: failureDomainId(`f${index % 3}`), draining: index === 3 }))
 
 t.test('in a fleet no larger than the number of rate holders, every instance holds a share', async (t) => {
   t.equal(selectRateHolders(workspaceId('w'), 200, fleet(3)), null)
@@ -32,3 +32,14 @@
     t.same(large?.slice(0, 2), small)
   }
 })
+
+t.test('the holders of a rate are in different failure domains', async (t) => {
+  for (const size of [8, 61]) {
+    for (let index = 0; index < 100; index++) {
+      for (const rate of [50, 500]) {
+        const holders = selectRateHolders(workspaceId(`w${index}`), rate, fleet(size)) ?? []
+        t.equal(new Set(holders.map((holder) => Number(holder.slice(1)) % 3)).size, holders.length)
+      }
+    }
+  }
+})
--- a/test/entry/session-admission.test.ts
+++ b/test/entry/session-admission.test.ts
@@ -14,16 +14,17 @@
 const refused: SessionRefusal = { result: 'rateExceeded', promise: 'nothing-kept', message: 'used up', retryAfterMs: 30 }
 
 /** Creates the admission of one instance in a fleet of `size` instances. `answers` are those of the rate holders, in the order of the requests. */
-function createHarness (size: number, answers: (SessionRefusal | null | 'unsent')[], name = 'nobody', confirmedMsAgo = 0) {
+function createHarness (size: number, answers: (SessionRefusal | null | 'unsent')[], name = 'nobody', confirmedMsAgo = 0, domain = 'f') {
   const clock = createFakeClock()
   const instances: DirectoryInstance[] = Array.from({ length: size }, (_, index) => ({
-    instance: instanceId(`e${index}`), incarnation: incarnationId(`e${index}.1`), peerAddress: address(`e${index}:1`), failureDomain: failureDomainId('f'), draining: false
+    instance: instanceId(`e${index}`), incarnation: incarnationId(`e${index}.1`), peerAddress: address(`e${index}:1`), failureDomain: failureDomainId(`f${index % 3}`), draining: false
   }))
   const requestedHolders: string[] = []
   const limiterMessages: LimiterMessage[] = []
   const admission = createSessionAdmission({
     clock,
     instance: instanceId(name),
+    failureDomain: failureDomainId(domain),
     instances: () => instances,
     rateOf: () => 200,
     confirmedAt: () => addTime(clock.now(), -confirmedMsAgo),
@@ -84,3 +85,11 @@
   t.match(await cutOff.admit(), { result: 'notFresh', promise: 'nothing-kept' }, 'its manifest may name a key that was withdrawn since')
   t.same(cutOff.requestedHolders, [])
 })
+
+t.test('a rate holder of the own failure domain is asked first', async (t) => {
+  for (const domain of ['f0', 'f1', 'f2']) {
+    const harness = createHarness(9, [null], 'nobody', 0, domain)
+    await harness.admit()
+    t.equal(`f${Number(harness.requestedHolders[0]?.slice(1)) % 3}`, domain)
+  }
+})
