--- a/src/adapters/metrics/create-metrics.ts
+++ b/src/adapters/metrics/create-metrics.ts
@@ -19,6 +19,8 @@
 
 export interface Metrics {
   observeRequest: (sample: RequestSample) => void
+  /** Counts a connection that a database refused because it has too many. */
+  countRejectedConnection: () => void
   /** Sets the current value of a gauge. */
   setGauge: (name: GaugeName, value: number) => void
   /** @returns the metrics in the text format of Prometheus, and its content type */
@@ -46,6 +48,7 @@
   const registers = [registry]
   const requests = new Counter({ name: 'catkinrelay_requests_total', help: 'Requests by workspace, result code and run state', labelNames: ['workspace', 'code', 'outcome', 'served_by'], registers })
   const requestDuration = new Histogram({ name: 'catkinrelay_request_seconds', help: 'Duration of requests', labelNames: ['outcome'], buckets: LATENCY_BUCKETS_SECONDS, registers })
+  const rejectedConnections = new Counter({ name: 'catkinrelay_rejected_connections_total', help: 'Connections that a database refused because it has too many', registers })
   const gauges = new Map(Object.entries(gaugeHelp).map(([name, help]) => [name, new Gauge({ name: `catkinrelay_${name}`, help, registers })]))
   const knownLabels = new Set<string>()
 
@@ -62,6 +65,7 @@
       requests.inc({ workspace: selectWorkspaceLabel(workspace), code: String(code), outcome, served_by: servedBy ?? 'none' })
       requestDuration.observe({ outcome }, durationMs / MS_PER_SECOND)
     },
+    countRejectedConnection: () => { rejectedConnections.inc() },
     setGauge: (name, value) => { gauges.get(name)?.set(value) },
     render: async () => ({ contentType: registry.contentType, text: await registry.metrics() })
   }
--- a/src/decisions/caller-sessions/session-pool.ts
+++ b/src/decisions/caller-sessions/session-pool.ts
@@ -14,8 +14,12 @@
 const SURPLUS_CLOSE_MS = 4000
 /** After a database refused a connection because it has too many, this instance opens none above its own limit for this long. */
 const FULL_DATABASE_PAUSE_MS = 1000
-/** After a database refused a connection, this instance opens none at all for this long. Another instance can close one meanwhile. */
+/**
+ * After a database refused a connection, this instance opens none at all for this long, and then a single one. The pause doubles with each
+ * further refusal: a database counts the connections of a crashed instance for seconds.
+ */
 const REFUSED_OPEN_PAUSE_MS = 50
+const MAX_REFUSED_OPEN_PAUSE_MS = 200
 /** Time-out for opening a connection: many round trips, and the time that a busy database takes. */
 const OPEN_TIMEOUT_MS = 900
 /** Connections per database that are reserved for status polls: one for the current control leader and one for its successor. */
@@ -42,6 +46,8 @@
   fullUntil: number
   /** No connection is opened before this time. */
   pausedUntil: number
+  /** Pauses in a row that each followed a refusal. */
+  consecutivePauses: number
 }
 
 /**
@@ -59,6 +65,8 @@
   connectionLimit: (database: DirectoryDatabase) => number
   /** @returns whether connections above the own limit must be closed, because a switchover or failover needs connections of the database */
   shouldCloseSurplus: (database: DirectoryDatabase) => boolean
+  /** Called when the database refused a connection because it has too many; gives the number that this instance holds. Default: ignored. */
+  onRejected?: (database: DatabaseId, ownConnections: number) => void
   /** @returns number of instances that share the connections of the database */
   instanceCount: (database: DirectoryDatabase) => number
   /** Calls back after a time in milliseconds. @returns a function that cancels the call */
@@ -97,7 +105,7 @@
     const known = pools.get(database.database)
     if (known !== undefined && known.address === database.address) return known
     if (known !== undefined) closeIdleAndRefuseWaiters(known)
-    const pool: DatabaseConnections = { address: database.address, all: new Set(), idle: new Map(), opening: new Map(), openingCount: 0, waiters: [], fullUntil: 0, pausedUntil: 0 }
+    const pool: DatabaseConnections = { address: database.address, all: new Set(), idle: new Map(), opening: new Map(), openingCount: 0, waiters: [], fullUntil: 0, pausedUntil: 0, consecutivePauses: 0 }
     pools.set(database.database, pool)
     return pool
   }
@@ -133,10 +141,12 @@
     pool.openingCount++
     pool.opening.set(workspace, (pool.opening.get(workspace) ?? 0) + 1)
     const opened = await options.open({ database: database.database, group: database.group, address: database.address, workspace }, OPEN_TIMEOUT_MS)
+      .catch((error: unknown) => err({ kind: 'unreachable' as const, message: String(error) }))
     pool.openingCount--
     pool.opening.set(workspace, (pool.opening.get(workspace) ?? 1) - 1)
     if (opened.isErr()) return handleOpenFailure(database, pool, opened.error.kind)
     health.recordConnectionOpened(database.database)
+    pool.consecutivePauses = 0
     const pooled = createOwnSession(opened.value, database.database, workspace, clock)
     pool.all.add(pooled)
     opened.value.onEnd(() => {
@@ -147,11 +157,15 @@
     // The database has another address since the open began.
     if (pools.get(database.database) !== pool) return pooled.close()
     release(pooled)
+    if (pool.waiters.length > 0) openForWaiters(database, pool)
   }
 
   function handleOpenFailure (database: DirectoryDatabase, pool: DatabaseConnections, kind: string): void {
     if (kind === 'too-many-connections' || kind === 'busy') {
-      if (kind === 'too-many-connections') pool.fullUntil = clock.now() + FULL_DATABASE_PAUSE_MS
+      if (kind === 'too-many-connections') {
+        pool.fullUntil = clock.now() + FULL_DATABASE_PAUSE_MS
+        options.onRejected?.(database.database, pool.all.size)
+      }
       return pauseOpening(database, pool)
     }
     health.recordConnectionFailure(database.database)
@@ -161,9 +175,11 @@
 
   /** Pauses opening, since a refused connection costs the database and the network as much as an accepted one. */
   function pauseOpening (database: DirectoryDatabase, pool: DatabaseConnections): void {
-    const isPaused = clock.now() < pool.pausedUntil
-    pool.pausedUntil = clock.now() + REFUSED_OPEN_PAUSE_MS
-    if (!isPaused) after(REFUSED_OPEN_PAUSE_MS, () => { resumeOpening(database, pool) })
+    // Attempts that were under way together count as one.
+    if (clock.now() < pool.pausedUntil) return
+    const pauseMs = Math.min(MAX_REFUSED_OPEN_PAUSE_MS, REFUSED_OPEN_PAUSE_MS * 2 ** pool.consecutivePauses++)
+    pool.pausedUntil = clock.now() + pauseMs
+    after(pauseMs, () => { resumeOpening(database, pool) })
   }
 
   function resumeOpening (database: DirectoryDatabase, pool: DatabaseConnections): void {
@@ -185,12 +201,16 @@
 
   function openForWaiters (database: DirectoryDatabase, pool: DatabaseConnections): void {
     if (clock.now() < pool.pausedUntil) return
+    // After a refusal, a single attempt shows whether the database accepts connections again.
+    const isTrying = pool.consecutivePauses > 0
+    if (isTrying && pool.openingCount > 0) return
     const waitingCounts = new Map<WorkspaceId, number>()
     for (const { workspace } of pool.waiters) waitingCounts.set(workspace, (waitingCounts.get(workspace) ?? 0) + 1)
     for (const [workspace, count] of waitingCounts) {
       for (let missing = count - (pool.opening.get(workspace) ?? 0); missing > 0; missing--) {
         if (!canOpen(database, pool) && !closeOldestIdle(pool)) return
         open(database, pool, workspace).catch(() => { health.recordConnectionFailure(database.database) })
+        if (isTrying) return
       }
     }
   }
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -139,6 +139,10 @@
     open: options.open,
     connectionLimit,
     shouldCloseSurplus: ({ group }) => access.isPrimaryChanging(group),
+    onRejected: (rejectedBy, ownConnections) => {
+      metrics.countRejectedConnection()
+      logEvent('connectionRejected', { database: rejectedBy, ownConnections })
+    },
     instanceCount: placement.count,
     after: callAfter
   })
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -44,6 +44,7 @@
   databaseAnnounced: { event: 401, name: 'database-announced', level: 'info', meaning: 'A database announced itself for the first time or changed its address.' },
   databaseDeparting: { event: 402, name: 'database-departing', level: 'info', meaning: 'A database announced that it is leaving.' },
   databaseSilent: { event: 403, name: 'database-silent', level: 'warn', meaning: 'A database stopped answering this instance.' },
+  connectionRejected: { event: 413, name: 'connection-rejected', level: 'info', meaning: 'A database refused a connection because it has too many; gives the number of connections of this instance.' },
   failoverBegan: { event: 404, name: 'failover-began', level: 'warn', meaning: 'The control leader considered the primary of a group lost and began a new term.' },
   candidateChosen: { event: 412, name: 'candidate-chosen', level: 'info', meaning: 'An election chose the database to promote; gives role, newest known promotion and position of each database that answered.' },
   failoverEnded: { event: 405, name: 'failover-ended', level: 'info', meaning: 'A new primary serves the group.' },
--- a/test/decisions/caller-sessions/session-pool.test.ts
+++ b/test/decisions/caller-sessions/session-pool.test.ts
@@ -20,6 +20,7 @@
   let isSurplusClosed = false
   const opened: SessionTarget[] = []
   const closed: SessionTarget[] = []
+  let rejectionCount = 0
   const after = (durationMs: number, callback: () => void): () => void => {
     const timer = { at: clock.now() + durationMs, callback }
     timers.push(timer)
@@ -45,6 +46,7 @@
     connectionLimit: () => 34,
     instanceCount: () => 10,
     shouldCloseSurplus: () => isSurplusClosed,
+    onRejected: () => { rejectionCount++ },
     after,
     open: async (target) => {
       opened.push(target)
@@ -72,6 +74,7 @@
     pool,
     opened,
     closed,
+    rejections: () => rejectionCount,
     settle,
     advance,
     refuse: (kind: OpenFailure['kind'] | null) => { refusal = kind },
@@ -100,6 +103,20 @@
   t.ok((await waiting).isOk())
 })
 
+t.test('a database that counts dead connections for three seconds gets few attempts, and one soon after it accepts again', async (t) => {
+  const { pool, opened, refuse, advance, rejections } = createPool()
+  refuse('too-many-connections')
+  for (let waiter = 0; waiter < 10; waiter++) pool.acquire(database, firstWorkspace, 1, 10_000)
+  await advance(3000)
+  const attempts = opened.length
+  // One attempt for each longest pause, besides one for each operation before the first refusal and those of the two shorter pauses.
+  t.ok(attempts <= 3000 / 200 + 10 + 2, `${attempts} attempts`)
+  t.equal(rejections(), attempts, 'each rejection is reported')
+  refuse(null)
+  await advance(200)
+  t.equal(opened.length, attempts + 3, 'within 200 ms the database is tried again, and the other own connections are opened')
+})
+
 t.test('a connection serves one workspace only', async (t) => {
   const { pool, acquire, opened } = createPool()
   pool.release((await acquire(firstWorkspace))._unsafeUnwrap())
--- a/test/platform/promotion-orders.test.ts
+++ b/test/platform/promotion-orders.test.ts
@@ -1,3 +1,4 @@
+import { err } from 'neverthrow'
 import t from 'tap'
 import { openWireSession, readWireStatus } from '../../platform/database-wire.js'
 import { createPromotionOrders } from '../../platform/promotion-orders.js'
@@ -17,3 +18,16 @@
   t.match(await sendOrder(order({ kind: 'unfence' })), { value: { fencedTerm: 0 } })
   t.match(await sendOrder(order({ kind: 'follow', term: 4, primaryAddress: address('127.0.0.1:1') })), { error: { message: 'the platform knows no order follow' } })
 })
+
+t.test('a database that has too many connections is tried again until it accepts the order', async (t) => {
+  const replica = await startWireDatabase('g', 'r', 'replica')
+  t.teardown(replica.close)
+  let rejections = 3
+  const sendOrder = createPromotionOrders({
+    instance: instanceId('control-1'),
+    authority: '127.0.0.1:1',
+    open: async (target, limitMs) => rejections-- > 0 ? err({ kind: 'too-many-connections', message: 'TOOMANY' }) : await openWireSession(target, limitMs),
+    readStatus: readWireStatus
+  })
+  t.match(await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address(replica.address), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } }), { value: { role: 'replica' } })
+})
