--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
-// Bundles the platform's programs into one file, since loading many files takes most of the time of a start.
+// Bundles the platform's programs into one file, by default the one that the deploy file starts, since loading many files takes most of the time of a start.
 import { mkdirSync } from 'node:fs'
+import { dirname } from 'node:path'
 import { build } from 'esbuild'
 
 /**
@@ -17,10 +18,12 @@
   }
 }
 
-mkdirSync('target', { recursive: true })
+const [outfile = 'target/catkinrelay-platform.cjs'] = process.argv.slice(2)
+
+mkdirSync(dirname(outfile), { recursive: true })
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/catkinrelay-platform.cjs',
+  outfile,
   bundle: true,
   minify: true,
   keepNames: true,
