control: records of instances and databases wait for the pause between two directories

A pause of 2 ms for each instance existed, but each entry of the log bypassed it, and the log records each instance and database of a fleet that starts. After a loss of all processes the same 280 KB an instance keep its link of 2 Mbit/s busy for more than a second.

Change: only a change of a group's primary, of the manifest or of the withdrawn failure domains is published at once; the decision is a module of its own (directory-pace.ts).

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -25,23 +25,10 @@
 import { createLeadershipTracker } from './leadership-tracker.js'
 import { logFailureDomainChanges } from './log-failure-domain-changes.js'
 import { createRecordedInstances } from './recorded-instances.js'
+import { createDirectoryPace } from './directory-pace.js'
 import { createLostInstances } from './lost-instances.js'
 import { buildShareResources } from './share-resources.js'
 
-/**
- * Interval at which the coordinator rebuilds the directory without a known change, in ms. Weights of databases rise with time.
- * At 710 instances and 1,200 databases, a rebuild at each tick of 50 ms would use 2% of a core.
- */
-const UPDATE_INTERVAL_MS = 250
-/** Time for which a new leader rebuilds the directory at each tick, in ms: the longest wait before its first directory, and one tick. */
-const NEW_LEADER_PERIOD_MS = 1600
-
-/**
- * Minimum time between two directories, in ms for each registered instance. While a fleet starts, the directory changes with each
- * instance that joins, and the leader sends each change to all instances.
- */
-const DIRECTORY_PAUSE_PER_INSTANCE_MS = 2
-
 /** A heartbeat whose answer waits for a leadership confirmation. The connection may receive a later heartbeat, which that confirmation does not cover. */
 interface PendingHeartbeat {
   connection: EntryConnection
@@ -101,8 +88,7 @@
     }
   })
   let areResourcesStale = true
-  let isDirectoryStale = true
-  let directoryUpdatedAt = -Infinity
+  const directoryPace = createDirectoryPace({ clock, leadershipSince: () => readers.leadership.read()?.since ?? clock.now(), countInstances: () => readers.instances.read().size })
   /** Term for which the coordinator has logged the start of granting. */
   let loggedGrantingTerm: number | null = null
   let publishedSwitches: ReadonlySet<GroupId> = readers.switching.read()
@@ -223,8 +209,7 @@
 
   function updateDirectory (): void {
     if (!leadership.isEstablished()) return
-    isDirectoryStale = false
-    directoryUpdatedAt = clock.now()
+    directoryPace.recordUpdate()
     weights.tick()
     for (const group of isPlacingHolders ? holderAssignment.tick() : []) logEvent('holdersChanged', { group, holders: (readers.holders.read().get(group) ?? []).join(' ') })
     publishState()
@@ -242,13 +227,7 @@
 
   function markInstancesChanged (): void {
     holderAssignment.invalidate()
-    isDirectoryStale = true
-  }
-
-  /** Returns 0 for a new leader, as each message that it receives may report another connection holder or database. */
-  function computeUpdateIntervalMs (): number {
-    const since = readers.leadership.read()?.since ?? clock.now()
-    return clock.now() - since < NEW_LEADER_PERIOD_MS ? 0 : UPDATE_INTERVAL_MS
+    directoryPace.markStale()
   }
 
   function updateShareResources (): void {
@@ -269,7 +248,8 @@
     const state = log.state()
     if (state === last) return
     stateEntry.write(state)
-    if (state.withdrawnDomains !== last.withdrawnDomains || state.databases !== last.databases) isDirectoryStale = true
+    if (state.groups !== last.groups || state.manifest !== last.manifest || state.withdrawnDomains !== last.withdrawnDomains) directoryPace.markUrgent()
+    if (state.withdrawnDomains !== last.withdrawnDomains || state.databases !== last.databases) directoryPace.markStale()
     if (leadership.term() !== null && (state.manifest !== last.manifest || state.withdrawnDomains !== last.withdrawnDomains)) logFailureDomainChanges(last, state, logEvent)
     if (state.manifestVersion === last.manifestVersion) return
     areResourcesStale = true
@@ -280,7 +260,9 @@
     refreshReplicatedState()
     leadership.refresh()
     if (leadership.term() === null) return
-    updateDirectory()
+    // The log records each instance and database of a fleet that starts. Such changes keep the pause between two directories.
+    directoryPace.markStale()
+    if (directoryPace.isDue()) updateDirectory()
     runEffects(failover.tick())
     publishIfSwitchesChanged()
   }
@@ -302,10 +284,8 @@
       markInstancesChanged()
       logEvent('instanceLost', { instance: instance.instance })
     }
-    if (databases.tick().length > 0) isDirectoryStale = true
-    const sinceUpdateMs = clock.now() - directoryUpdatedAt
-    const isDue = isDirectoryStale || sinceUpdateMs >= computeUpdateIntervalMs()
-    if (isDue && sinceUpdateMs >= readers.instances.read().size * DIRECTORY_PAUSE_PER_INSTANCE_MS) updateDirectory()
+    if (databases.tick().length > 0) directoryPace.markStale()
+    if (directoryPace.isDue()) updateDirectory()
     runEffects(failover.tick())
     publishIfSwitchesChanged()
     allocator.tick()
--- a/test/control/coordinator-heartbeats.test.ts
+++ b/test/control/coordinator-heartbeats.test.ts
@@ -86,6 +86,16 @@
       state = buildState(version)
       notifyChange()
     },
+    /** Commits the record of an instance, as the log of a fleet that starts does for each one. */
+    recordInstance: (name: string) => {
+      state = { ...state, instances: [...state.instances, instanceId(name)] }
+      notifyChange()
+    },
+    /** Commits the withdrawal of the failure domain of the databases. */
+    withdrawDomain: () => {
+      state = { ...state, withdrawnDomains: [buildAnnouncement(buildStatus('d'), false).failureDomain] }
+      notifyChange()
+    },
     depose: () => {
       isLeading = false
       notifyChange()
@@ -205,3 +215,24 @@
   advance(1600)
   t.match(coordinator.summary().instances, [{ instance: 'i', manifestVersion: 1, provenMsAgo: 1600 }])
 })
+
+t.test('while a fleet starts, the records of its instances cause few directories; a withdrawn failure domain is published at once', async (t) => {
+  const instanceCount = 200
+  const deployment = await startCoordinator()
+  const { coordinator, confirmations, drainSent, advance, recordInstance, withdrawDomain } = deployment
+  confirmations.shift()?.(ok(7))
+  await settlePromises()
+  coordinator.handle('d', { version: 1, kind: 'announcement', ageMs: 0, announcement: buildAnnouncement(buildStatus('d'), false) })
+  drainSent()
+  for (let joined = 0; joined < instanceCount; joined++) {
+    coordinator.handle(`entry-${joined}`, buildHeartbeat(1, { instance: instanceId(`entry-${joined}`), incarnation: `entry-${joined}.a` as never }))
+    recordInstance(`entry-${joined}`)
+    advance(10)
+  }
+  const directories = drainSent().filter(({ kind }) => kind === 'directory').length
+  // A directory goes to n instances and is followed by a pause of n times 2 ms, so 2,000 ms have room for 1,000. Each instance also gets one with its first heartbeat.
+  t.ok(directories > 0)
+  t.ok(directories <= 1000 + instanceCount, `${directories} directories for ${instanceCount} instances`)
+  withdrawDomain()
+  t.equal(drainSent().filter(({ kind }) => kind === 'directory').length, instanceCount, 'within the pause')
+})
