--- a/measure/restart.ts
+++ b/measure/restart.ts
@@ -41,7 +41,7 @@
   async function startMember (index: number): Promise<Member> {
     const ownAddress = memberAddresses[index] ?? address('')
     const clusterSecret = sandboxSecrets.cluster
-    const transport = createMemberTransport({ hello: { purpose: 'member', name: instanceId(`control-${index + 1}`), address: ownAddress }, clusterSecret, tls: null })
+    const transport = createMemberTransport({ hello: { purpose: 'member', name: instanceId(`control-${index + 1}`), address: ownAddress }, clusterSecret, tls: null, logEvent: () => {} })
     const started = await startControlLog({ ownAddress, entryAddress: ownAddress, memberAddresses, dataFolder: join(folder, String(index)), transport, clock: monotonicClock, random: createRandom(seed + index), logEvent: () => {} })
     if (started.isErr()) throw new Error(started.error.message)
     const log = started.value
@@ -50,6 +50,7 @@
       port: ports[index] ?? 0,
       clusterSecret,
       tls: null,
+      logEvent: () => {},
       onChannel: (channel) => { channel.onMessage((message) => { log.receive(message as ConsensusMessage) }) }
     })
     return {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,5 +28,7 @@
   target: 'node20',
   format: 'cjs',
   external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
+  // Node ends on SIGHUP until a listener is set. The program sets its own once it has read its settings.
+  banner: { js: "process.on('SIGHUP',()=>{});" },
   plugins: [jsoncParser]
 })
--- a/src/adapters/ws/dial-channel.ts
+++ b/src/adapters/ws/dial-channel.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from 'ws'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
+import type { LogEvent } from '../../types/log-event.js'
 import { resetSocket } from '../sockets/reset-socket.js'
 import { offerHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
@@ -19,6 +20,7 @@
   hello: Hello
   clusterSecret: string
   tls: TlsFiles | null
+  logEvent: LogEvent
   /** When the channel pings its peer. Default: `always`. */
   pings?: PingMode
 }
@@ -42,7 +44,7 @@
   const inbox = createInbox(socket)
   try {
     const peerTime = await offerHandshake(socket, inbox, clusterSecret, hello)
-    return ok(createMessageChannel(socket, inbox, hello, { pings: options.pings, peerTime, reset: () => { if (rawSocket !== null) resetSocket(rawSocket) }, countSocketBytes: () => rawSocket?.bytesRead ?? 0 }))
+    return ok(createMessageChannel(socket, inbox, hello, { logEvent: options.logEvent, pings: options.pings, peerTime, reset: () => { if (rawSocket !== null) resetSocket(rawSocket) }, countSocketBytes: () => rawSocket?.bytesRead ?? 0 }))
   } catch (error) {
     socket.terminate()
     return err(error as Error)
--- a/src/adapters/ws/message-channel.ts
+++ b/src/adapters/ws/message-channel.ts
@@ -2,6 +2,7 @@
 import { FLOAT32_OPTIONS, Packr } from 'msgpackr'
 import type { WebSocket } from 'ws'
 import type { Milliseconds } from '../../types/clock.js'
+import type { LogEvent } from '../../types/log-event.js'
 import type { Inbox } from './inbox.js'
 
 /** Time between pings in milliseconds. */
@@ -59,6 +60,8 @@
 export type PingMode = 'always' | 'while-waiting'
 
 export interface ChannelOptions {
+  /** Logs a message that the listener could not handle. */
+  logEvent: LogEvent
   /** When the channel pings its peer. Default: `always`. */
   pings?: PingMode | undefined
   /** The peer's clock reading from the handshake. Default: null, when the peer sent none. */
@@ -88,7 +91,7 @@
   close: () => void
   /** Ends the channel at once, and discards what the peer has not received. */
   reset: () => void
-  /** Sets the only listener and delivers to it at once the messages received so far. */
+  /** Sets the only listener and delivers to it at once the messages received so far. A listener that throws ends the channel. */
   onMessage: (listener: (message: unknown) => void) => void
   /** Calls the listener once when the channel has ended for any reason. */
   onEnd: (listener: () => void) => void
@@ -102,7 +105,7 @@
  * Creates a channel on an authenticated socket. Pings the peer and ends the socket when neither a pong nor a message arrives,
  * since a connection can become silent for good without being closed.
  */
-export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { pings: pingMode = 'always', peerTime = null, reset = () => {}, countSocketBytes = () => 0 }: ChannelOptions = {}): MessageChannel {
+export function createMessageChannel (socket: WebSocket, inbox: Inbox, hello: Hello, { logEvent, pings: pingMode = 'always', peerTime = null, reset = () => {}, countSocketBytes = () => 0 }: ChannelOptions): MessageChannel {
   const endListeners: (() => void)[] = []
   let hasEnded = false
   let missedPings = 0
@@ -147,14 +150,13 @@
     if (hasEnded) return
     missedPings = 0
     received += data.length
-    let message: unknown
     try {
-      message = unpackMessage(data)
-    } catch {
-      end()
-      return
+      listener(unpackMessage(data))
+    } catch (error) {
+      // The sender may be of another version or damaged. Only its channel ends; the process goes on serving the others.
+      logEvent('messageRejected', { peer: hello.name, purpose: hello.purpose, message: String(error) })
+      endWithReset()
     }
-    listener(message)
   }
 
   function sendPacked (data: Buffer): void {
--- a/src/adapters/ws/message-server.ts
+++ b/src/adapters/ws/message-server.ts
@@ -5,6 +5,7 @@
 import { WebSocketServer } from 'ws'
 import type { WebSocket } from 'ws'
 import type { Clock } from '../../types/clock.js'
+import type { LogEvent } from '../../types/log-event.js'
 import { resetSocket } from '../sockets/reset-socket.js'
 import { acceptHandshake } from './handshake.js'
 import { createInbox } from './inbox.js'
@@ -25,6 +26,7 @@
   pings?: (hello: Hello) => PingMode
   /** Clock whose reading is sent to each client in the handshake. Default: none is sent. */
   clock?: Clock
+  logEvent: LogEvent
   /** Called for each connection that passed the handshake. */
   onChannel: (channel: MessageChannel) => void
 }
@@ -53,7 +55,7 @@
     const inbox = createInbox(socket)
     try {
       const hello = await acceptHandshake(socket, inbox, options.clusterSecret, options.clock ?? null)
-      options.onChannel(createMessageChannel(socket, inbox, hello, { pings: options.pings?.(hello), reset: () => { resetSocket(rawSocket) } }))
+      options.onChannel(createMessageChannel(socket, inbox, hello, { logEvent: options.logEvent, pings: options.pings?.(hello), reset: () => { resetSocket(rawSocket) } }))
     } catch {
       socket.terminate()
     }
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -8,9 +8,9 @@
 import { createAnswerEncoder, createHeartbeatDecoder } from '../decisions/freshness/heartbeat-codec.js'
 import { createShareAllocator } from '../decisions/limits/share-allocator.js'
 import type { Clock } from '../types/clock.js'
-import type { CompactAnswer, CompactHeartbeat } from '../types/compact-message.js'
+import type { CompactAnswer } from '../types/compact-message.js'
 import type { ConsensusMessage } from '../types/consensus-message.js'
-import type { EntryToControl, Heartbeat, HeartbeatAnswer } from '../types/control-message.js'
+import type { HeartbeatAnswer } from '../types/control-message.js'
 import type { StorageFailure } from '../types/control-storage.js'
 import type { Address, InstanceId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
@@ -21,6 +21,7 @@
 import type { CoordinatorOptions } from './coordinator-options.js'
 import type { Coordinator } from './coordinator.js'
 import { createCoordinator } from './coordinator.js'
+import { checkEntryMessage } from './entry-message-schema.js'
 import { createMemberTransport } from './member-transport.js'
 import type { ServiceLevelCollection } from './service-level-collection.js'
 import { createServiceLevelCollection } from './service-level-collection.js'
@@ -71,7 +72,7 @@
  */
 export async function startControlCore (options: ControlCoreOptions): Promise<ControlCore> {
   const { clock, random, logEvent, clusterSecret, tls, ownAddress } = options
-  const transport = createMemberTransport({ hello: { purpose: 'member', name: options.instance, address: ownAddress }, clusterSecret, tls })
+  const transport = createMemberTransport({ hello: { purpose: 'member', name: options.instance, address: ownAddress }, clusterSecret, tls, logEvent: options.logEvent })
   const startedLog = await startControlLog({
     ownAddress,
     entryAddress: ownAddress,
@@ -125,7 +126,7 @@
     const decodeHeartbeat = createHeartbeatDecoder()
     coordinator.attach(name)
     channel.onMessage((received) => {
-      const message = received as Exclude<EntryToControl, Heartbeat> | CompactHeartbeat
+      const message = checkEntryMessage(received)
       if (message.kind === 'service-level-increment') {
         serviceLevels.handle(name, message)
         return
@@ -152,6 +153,7 @@
     tls,
     // Entry instances send heartbeats, so the server need not ping idle channels of theirs.
     pings: ({ purpose }) => purpose === 'member' ? 'always' : 'while-waiting',
+    logEvent: options.logEvent,
     onChannel: acceptChannel
   })
   const stopTicks = repeatByTimer(TICK_INTERVAL_MS, () => {
--- a/src/control/member-transport.ts
+++ b/src/control/member-transport.ts
@@ -2,6 +2,7 @@
 import type { Hello, MessageChannel } from '../adapters/ws/message-channel.js'
 import type { TlsFiles } from '../adapters/ws/tls-files.js'
 import type { Address } from '../types/ids.js'
+import type { LogEvent } from '../types/log-event.js'
 
 /** Pause after a failed attempt to connect to a member, in milliseconds. */
 const REDIAL_PAUSE_MS = 100
@@ -10,6 +11,7 @@
   hello: Hello
   clusterSecret: string
   tls: TlsFiles | null
+  logEvent: LogEvent
 }
 
 /** Sends consensus messages to other members. Messages may be lost; the consensus controller sends again what matters. */
--- a/src/entry/control-link.ts
+++ b/src/entry/control-link.ts
@@ -7,12 +7,14 @@
 import type { ControlToEntry } from '../types/control-message.js'
 import type { Controller } from '../types/controller.js'
 import type { Address } from '../types/ids.js'
+import type { LogEvent } from '../types/log-event.js'
 
 export interface ControlLinkOptions {
   attachment: Controller<AttachmentMessage, AttachmentEffect>
   hello: Hello
   clusterSecret: string
   tls: TlsFiles | null
+  logEvent: LogEvent
   /** When the channel sends keep-alives. Default: `always`. `while-waiting` is enough where unanswered heartbeats already show a lost connection. */
   pings?: PingMode
 }
@@ -28,7 +30,7 @@
 
 /** @returns a link without a connection; the attachment dials at the first tick */
 export function createControlLink (options: ControlLinkOptions): ControlLink {
-  const { attachment, hello, clusterSecret, tls, pings = 'always' } = options
+  const { attachment, hello, clusterSecret, tls, logEvent, pings = 'always' } = options
   let channel: MessageChannel | null = null
   let encodeHeartbeat = createHeartbeatEncoder()
   // Number of the latest dial. Results and messages of an abandoned dial have another number and are ignored.
@@ -44,7 +46,7 @@
 
   async function dial (address: Address): Promise<void> {
     const ownDial = ++currentDial
-    const dialed = await dialChannel({ address, hello, clusterSecret, tls, pings })
+    const dialed = await dialChannel({ address, hello, clusterSecret, tls, logEvent, pings })
     if (ownDial !== currentDial || isClosed) {
       if (dialed.isOk()) dialed.value.close()
       return
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -205,7 +205,7 @@
     onFinished: recordFinished
   })
 
-  const peerServer: MessageServer = await listenForMessages({ host: settings.peers.host, port: settings.peers.port, clusterSecret: settings.clusterSecret, tls, clock, onChannel: requesterChannels.accept })
+  const peerServer: MessageServer = await listenForMessages({ host: settings.peers.host, port: settings.peers.port, clusterSecret: settings.clusterSecret, tls, clock, logEvent, onChannel: requesterChannels.accept })
   const ownPeerAddress = settings.peerAddress ?? address(`${settings.peers.host}:${peerServer.port}`)
   const buildHello = (purpose: Hello['purpose']): Hello => ({ purpose, name: instance, address: ownPeerAddress })
 
@@ -219,7 +219,7 @@
     logEvent
   })
   const holderSelection = createPeerUse({ instance, clock, blackboard, setHolders: holderChannels.setHolders })
-  const link = createControlLink({ attachment, hello: buildHello('control'), clusterSecret: settings.clusterSecret, tls })
+  const link = createControlLink({ attachment, hello: buildHello('control'), clusterSecret: settings.clusterSecret, tls, logEvent })
 
   function announce (announcement: Announcement): void {
     const message = announcements.keep(announcement)
--- a/src/entry/holder-channels.ts
+++ b/src/entry/holder-channels.ts
@@ -53,8 +53,8 @@
 
   async function connect (name: InstanceId, holder: Holder): Promise<void> {
     if (!holder.isWanted || isClosed) return
-    const { hello, clusterSecret, tls } = options
-    const dialed = await dialChannel({ address: holder.address, hello, clusterSecret, tls })
+    const { hello, clusterSecret, tls, logEvent } = options
+    const dialed = await dialChannel({ address: holder.address, hello, clusterSecret, tls, logEvent })
     if (dialed.isErr()) {
       scheduleRedial(name, holder)
       return
--- a/src/entry/peer-call-handler.ts
+++ b/src/entry/peer-call-handler.ts
@@ -26,6 +26,12 @@
     if (channel.hello.purpose !== 'peer') return channel.close()
     const borrower = `${channel.hello.name}#${++channelCount}`
 
+    /** Ends the channel, so that the borrower learns at once that its call was not carried out as it was meant. */
+    function rejectMessage (error: unknown): void {
+      logEvent('messageRejected', { peer: channel.hello.name, purpose: channel.hello.purpose, message: String(error) })
+      channel.reset()
+    }
+
     async function answerCall ({ call, body }: Extract<PeerCallMessage, { kind: 'call' }>): Promise<void> {
       const answerBody = await runCall(borrower, body)
       channel.send({ kind: 'call-answer', call, now: milliseconds(Math.floor(clock.now())), body: answerBody } satisfies PeerCallAnswer)
@@ -39,12 +45,22 @@
         channel.setWaiting(lending.countLoansOf(borrower) > 0)
         return
       }
-      answerCall(message).catch((error: unknown) => { logEvent('peerCallFailed', { peer: channel.hello.name, message: String(error) }) })
+      answerCall(message).catch((error: unknown) => {
+        logEvent('peerCallFailed', { peer: channel.hello.name, message: String(error) })
+        channel.reset()
+      })
     }
 
     // A borrower whose channel was reset no longer waits. The reset is read right after the last message, hence before the next immediate callback.
     channel.onMessage((message) => {
-      setImmediate(() => { if (channel.isOpen()) handleMessage(message as PeerCallMessage) })
+      setImmediate(() => {
+        if (!channel.isOpen()) return
+        try {
+          handleMessage(message as PeerCallMessage)
+        } catch (error) {
+          rejectMessage(error)
+        }
+      })
     })
     channel.onEnd(() => { lending.endAllLoans(borrower) })
   }
--- a/src/entry/peer-calls.ts
+++ b/src/entry/peer-calls.ts
@@ -66,7 +66,7 @@
   }
 
   async function dial (peer: InstanceId, link: PeerLink): Promise<void> {
-    const dialed = await dialChannel({ address: link.address, hello, clusterSecret, tls: null, pings: 'while-waiting' })
+    const dialed = await dialChannel({ address: link.address, hello, clusterSecret, tls: null, logEvent, pings: 'while-waiting' })
     link.dialing = null
     if (dialed.isErr()) return
     const channel = dialed.value
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -148,6 +148,7 @@
     tls: null,
     pings: () => 'while-waiting',
     clock,
+    logEvent,
     onChannel: createPeerCallHandler({ clock, lending, takeToken: admission.takeToken, logEvent })
   })
 
@@ -178,7 +179,7 @@
       releasedTerms: access.releasedTerms()
     })
   })
-  const link = createControlLink({ attachment, pings: 'while-waiting', hello: buildHello('control'), clusterSecret: options.clusterSecret, tls: null })
+  const link = createControlLink({ attachment, pings: 'while-waiting', hello: buildHello('control'), clusterSecret: options.clusterSecret, tls: null, logEvent })
 
   function requestHeartbeatFor (shareHolderEffects: readonly unknown[]): void {
     if (shareHolderEffects.length > 0) link.handle({ kind: 'request-heartbeat' })
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -17,6 +17,7 @@
   stopping: { event: 102, name: 'stopping', level: 'info', meaning: 'A graceful shutdown began.' },
   stopped: { event: 103, name: 'stopped', level: 'info', meaning: 'The process ended after a graceful shutdown.' },
   failed: { event: 104, name: 'failed', level: 'error', meaning: 'The process ends because of an error.' },
+  unexpectedError: { event: 105, name: 'unexpected-error', level: 'error', meaning: 'An error that no code expected ended one task. An entry instance continues; a control instance ends and is restarted from its data folder.' },
 
   leaderElected: { event: 201, name: 'leader-elected', level: 'info', meaning: 'This member became leader of the control log.' },
   leadershipLost: { event: 202, name: 'leadership-lost', level: 'warn', meaning: 'This member stepped down as leader.' },
@@ -35,6 +36,7 @@
   controlChanged: { event: 305, name: 'control-changed', level: 'info', meaning: 'An answer was overdue, so this instance switched to another control member.' },
   peerConnectionLost: { event: 306, name: 'peer-connection-lost', level: 'warn', meaning: 'The connection to another process of the system ended or became silent.' },
   peerCallFailed: { event: 308, name: 'peer-call-failed', level: 'error', meaning: 'An unexpected error prevented the answer to a call of another instance.' },
+  messageRejected: { event: 313, name: 'message-rejected', level: 'error', meaning: 'A message of another process could not be handled, such as one of an unknown kind or version; the channel was reset.' },
   loanStatementLate: { event: 311, name: 'loan-statement-late', level: 'warn', meaning: 'A statement for a lent connection was not sent to the database, since its borrower may have stopped waiting; gives the borrower, how late it is, and how far this instance was with it.' },
   eventLoopPaused: { event: 312, name: 'event-loop-paused', level: 'warn', meaning: 'This process stood still: it was paused, suspended, or busy for too long.' },
   holdersChanged: { event: 307, name: 'holders-changed', level: 'info', meaning: 'The connection holders of a group changed.' },
