--- a/review/lib/scenario.mjs
+++ b/review/lib/scenario.mjs
@@ -19,16 +19,15 @@
   ['room-book', 'read_own_writes', 1000, 2500]
 ]
 
-export function buildConfig (version, service, { txIdleMs = 3000, rate = 2000, syncReplicas = 0 } = {}) {
+const TENANTS = [['noodle', 'noodle-key-1'], ['tailor', 'tailor-key-1']]
+
+export function buildConfig (version, service, { txIdleMs = 3000, rate = 2000, syncReplicas = 0, tenants = TENANTS } = {}) {
   return {
     version,
     routes: ROUTES.map(([database, kind, timeout, staleness]) => ({ name: `r-${database}`, database, path_prefix: '/', route_type: kind, timeout_ms: timeout, target_latency_ms: 400, priority: 1, service, max_attempts: 2, max_staleness_ms: staleness, public: false })),
     services: [{ name: service, health_path: '/health', max_connections: 33, protocol: 'h1', tls: false, cold_start_s: 0, cold_per_s: 0, sync_replicas: syncReplicas }],
     limits: { max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000, tx_idle_ms: txIdleMs },
-    tenants: [
-      { name: 'noodle', api_keys: ['noodle-key-1'], priority: 1, rate_per_s: rate, burst: rate },
-      { name: 'tailor', api_keys: ['tailor-key-1'], priority: 1, rate_per_s: rate, burst: rate }
-    ]
+    tenants: tenants.map(([name, key]) => ({ name, api_keys: [key], priority: 1, rate_per_s: rate, burst: rate }))
   }
 }
 
@@ -36,7 +35,7 @@
  * Runs a case: starts the deployment, waits until it serves, and calls `play`.
  * @param play - gets the deployment; returns the list of breaks, empty when the rule held
  */
-export async function runCase (metaUrl, { fronts = 3, cores = 5, tolerated = 2, workMs = () => 12, syncReplicas = 0, lasting = 100_000 }, play) {
+export async function runCase (metaUrl, { fronts = 3, cores = 5, tolerated = 2, workMs = () => 12, syncReplicas = 0, tenants = TENANTS, lasting = 100_000 }, play) {
   const startedAt = performance.now()
   const now = () => Math.round(performance.now() - startedAt)
   const lines = [`${isTrouble ? 'with' : 'without'} the disruption`]
@@ -63,7 +62,7 @@
   try {
     fleet.startAll()
     service.announceTo(fleet.controlAddresses())
-    const configured = await order(fleet.controlAddresses(), 'POST', '/api/config/replace', buildConfig(7, service.name, { syncReplicas }), 25_000)
+    const configured = await order(fleet.controlAddresses(), 'POST', '/api/config/replace', buildConfig(7, service.name, { syncReplicas, tenants }), 25_000)
     const isReady = configured !== null && await fleet.waitUntilReady(25_000)
     record(`config confirmed: ${configured !== null}, all front machines ready: ${isReady}`)
     if (!isReady) return await end(NOT_RUN)
