entry: what a planned stop cuts off is logged

Nothing told which callers a stopping instance cut off. Line 507 names the statement, its age, the state of its session, the database of its connection and the bytes that the operating system had not taken; line 103 gives the time since the signal and how many sessions and lent connections were still busy. Log lines are collected for 200 ms, so those of the last 200 ms of a process were lost; the queue is now written at its exit. No logic of the stop is changed.

--- a/src/adapters/logs/create-line-writer.ts
+++ b/src/adapters/logs/create-line-writer.ts
@@ -1,4 +1,4 @@
-import { write } from 'node:fs'
+import { write, writeSync } from 'node:fs'
 
 export interface LineWriterOptions {
   /** Writes a text to the output without blocking; calls back when done. Default: standard output. */
@@ -11,6 +11,8 @@
   maxQueuedBytes?: number
   /** Schedules one callback. Default: after 200 ms, with a timer that does not keep the process alive. */
   callLater?: (callback: () => void) => void
+  /** Writes a text to the output before it returns. Default: standard output. */
+  writeTextNow?: (text: string) => void
   /** @returns time in milliseconds */
   now: () => number
   /** @returns the line that reports the number of dropped lines */
@@ -20,6 +22,8 @@
 export interface LineWriter {
   /** Queues a line; drops it when lines exceed the rate or the output is too slow. */
   write: (line: string) => void
+  /** Writes the queued lines at once. For the end of the process, after which no callback runs. */
+  writeQueuedLines: () => void
   /** @returns number of lines dropped so far */
   countDropped: () => number
 }
@@ -33,11 +37,20 @@
   write(STANDARD_OUTPUT, text, () => { done() })
 }
 
+function writeToStandardOutputNow (text: string): void {
+  try {
+    writeSync(STANDARD_OUTPUT, text)
+  } catch {
+    // The output is full or closed, and the process ends: there is no other place to report the loss.
+  }
+}
+
 /** Creates a line writer that never blocks and limits the rate and the memory of its lines. */
 export function createLineWriter (options: LineWriterOptions): LineWriter {
   const { now, composeDroppedLine } = options
   const callLater = options.callLater ?? ((callback) => { setTimeout(callback, LINE_COLLECTION_MS).unref() })
   const writeText = options.writeText ?? writeToStandardOutput
+  const writeTextNow = options.writeTextNow ?? writeToStandardOutputNow
   const linesPerSecond = options.linesPerSecond ?? 200
   const burst = options.burst ?? 400
   const maxQueuedBytes = options.maxQueuedBytes ?? 256 * 1024
@@ -50,14 +63,18 @@
   let dropped = 0
   let droppedTotal = 0
 
-  function flush (): void {
-    isScheduled = false
-    if (isWriting || queuedLines.length === 0) return
+  function takeQueuedText (): string {
     const text = queuedLines.join('')
     queuedLines = []
     queuedBytes = 0
+    return text
+  }
+
+  function flush (): void {
+    isScheduled = false
+    if (isWriting || queuedLines.length === 0) return
     isWriting = true
-    writeText(text, () => {
+    writeText(takeQueuedText(), () => {
       isWriting = false
       if (queuedLines.length > 0) schedule()
     })
@@ -77,6 +94,7 @@
 
   return {
     countDropped: () => droppedTotal,
+    writeQueuedLines: () => { if (queuedLines.length > 0) writeTextNow(takeQueuedText()) },
     write: (line) => {
       const time = now()
       tokens = Math.min(burst, tokens + (time - lastRefillAt) * linesPerSecond / 1000)
--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -1,3 +1,4 @@
+import type { DatabaseId } from '../../types/ids.js'
 import type { SessionAnswer, SessionRefusal, SessionState, SessionStatement } from '../../types/session-statement.js'
 import type { SessionContext } from './session-context.js'
 import { admitOperation } from './session-context.js'
@@ -12,6 +13,8 @@
   /** Handles one statement. The caller must wait for the answer before it sends the next one. */
   handle: (id: string, statement: SessionStatement) => Promise<SessionAnswer>
   state: () => SessionState
+  /** @returns the database of the connection in use; null while the session uses none */
+  database: () => DatabaseId | null
   /** @returns whether a transaction is open or a statement is in progress */
   isBusy: () => boolean
   /** Ends the session: rolls back an open transaction and releases its connection. */
@@ -31,7 +34,7 @@
 export function openCallerSession (services: SessionServices, endpointName: string, keyDigest: string | null): CallerSession | SessionRefusal {
   const initialGrant = services.authorize(endpointName, keyDigest)
   if ('promise' in initialGrant) return initialGrant
-  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null }
+  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null, database: null }
   let transaction: SessionTransaction | null = null
   let isRunning = false
 
@@ -112,6 +115,7 @@
   return {
     handle,
     state: currentState,
+    database: () => context.database,
     isBusy: () => isRunning || transaction !== null,
     close: () => {
       transaction?.rollback()
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '../../types/clock.js'
 import { addTime } from '../../types/clock.js'
 import type { DatabaseErrorKind, DatabaseReply } from '../../types/database-session.js'
+import type { DatabaseId } from '../../types/ids.js'
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
@@ -27,6 +28,8 @@
   readonly rollbackTimeoutMs: number
   /** Position of the session's last commit; null before the first. */
   position: LogPosition | null
+  /** Database of the connection in use; null while the session uses none. */
+  database: DatabaseId | null
 }
 
 /** @returns the requirements of a statement that arrived at `arrivedAt` */
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -76,6 +76,7 @@
     primaryWork = null
     const last = held
     held = null
+    context.database = null
     if (last === null || last.pooled.ended) return
     if (isEndedByDatabase) pool.release(last.pooled)
     else rollBackAndRelease(context, last.pooled).catch(() => {})
@@ -132,6 +133,7 @@
 
   function holdConnection (acquired: AcquiredConnection, requirements: ConnectionRequirements): AcquiredConnection {
     held = acquired
+    context.database = acquired.pooled.database
     if (requirements.transactionMode === 'plain') {
       primaryWork = access.registerWork(acquired.group, () => { abort(buildRefusalPromisingNothingKept('transactionAborted', 'the transaction was aborted because the primary of its group is being changed', RETRY_AFTER_MS)) })
     }
--- a/src/decisions/caller-sessions/single-statement.ts
+++ b/src/decisions/caller-sessions/single-statement.ts
@@ -48,6 +48,7 @@
   const { services, values } = context
   const isWrite = requirements.kind === 'write'
   // A single write can't be aborted: it holds up a switchover until it is answered or its deadline expires.
+  context.database = acquired.pooled.database
   const primaryWork = isWrite ? services.access.registerWork(acquired.group, () => {}) : null
   try {
     const result = await runStatement(services, acquired.pooled, { id, statement, after: acquired.after, values, limitMs: Math.max(MIN_RUN_MS, computeRemainingMs(context, requirements)), isLast: !acquired.hasGuardTransaction })
@@ -62,6 +63,7 @@
     return { kind: 'retry', cause: error, pauseMs: recordDatabaseRefusal(context, error, requirements, acquired) }
   } finally {
     primaryWork?.end()
+    context.database = null
   }
 }
 
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -15,7 +15,7 @@
 export const logEvents = {
   started: { event: 101, name: 'started', level: 'info', meaning: 'The process listens on its addresses.' },
   stopping: { event: 102, name: 'stopping', level: 'info', meaning: 'A graceful shutdown began.' },
-  stopped: { event: 103, name: 'stopped', level: 'info', meaning: 'The process ended after a graceful shutdown.' },
+  stopped: { event: 103, name: 'stopped', level: 'info', meaning: 'The process ends after a graceful shutdown; an entry instance gives the time since the signal, and the sessions and lent connections that were still busy.' },
   failed: { event: 104, name: 'failed', level: 'error', meaning: 'The process ends because of an error.' },
   unexpectedError: { event: 105, name: 'unexpected-error', level: 'error', meaning: 'An error that no code expected ended one task. An entry instance continues; a control instance ends and is restarted from its data folder.' },
 
@@ -59,6 +59,7 @@
   operationFinished: { event: 503, name: 'operation-finished', level: 'info', meaning: 'A session operation succeeded; gives the database, the required position and its age.' },
   operationRefused: { event: 504, name: 'operation-refused', level: 'info', meaning: 'A session operation was refused; gives the result, what the refusal promises, and the inputs of the decision.' },
   statementRetried: { event: 505, name: 'statement-retried', level: 'info', meaning: 'A statement that has not run is retried, usually at another database.' },
+  callerConnectionCut: { event: 507, name: 'caller-connection-cut', level: 'warn', meaning: 'This instance ended the connection of a caller with a statement in progress or before the operating system had taken the whole answer; gives the statement, its age, the state of the session, the database of its connection, and the bytes not taken.' },
   linesDropped: { event: 506, name: 'lines-dropped', level: 'warn', meaning: 'Log lines were dropped to bound their volume.' },
   wrongfulRefusal: { event: 502, name: 'wrongful-refusal', level: 'warn', meaning: 'A request within the rate of its workspace was refused.' },
 
--- a/test/adapters/logs/create-line-writer.test.ts
+++ b/test/adapters/logs/create-line-writer.test.ts
@@ -31,3 +31,12 @@
   for (let line = 0; line < 500; line++) writer.write('x'.repeat(9))
   t.equal(writer.countDropped(), 489)
 })
+
+t.test('the lines queued at the end of the process are written', async (t) => {
+  const written: string[] = []
+  const writer = createLineWriter({ now: () => 0, callLater: () => {}, composeDroppedLine: () => '', writeTextNow: (text) => { written.push(text) } })
+  writer.write('last line')
+  writer.writeQueuedLines()
+  writer.writeQueuedLines()
+  t.same(written, ['last line\n'])
+})
--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -39,6 +39,7 @@
         }
       },
       state: () => 'idle',
+      database: () => null,
       isBusy: () => running > 0,
       close: () => { closed++ }
     }
