--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -18,11 +18,11 @@
 
 const NOT_KEPT_CODES = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'])
 /** A caller that waits longer for an answer closes its connection. */
-const ANSWER_TIMEOUT_MS = 3000
+const DEFAULT_ANSWER_TIMEOUT_MS = 3000
 
 /** One session of a caller over the platform's wire protocol. */
 export interface CallerConnection {
-  /** Sends a statement. @returns its answer; `unknown` if the connection closes first or no answer arrives within 3 s */
+  /** Sends a statement. @returns its answer; `unknown` if the connection closes first or no answer arrives in time */
   query: (id: string, text: string) => Promise<Answer>
   isOpen: () => boolean
   close: () => void
@@ -30,8 +30,12 @@
 
 const UNKNOWN_ANSWER: Answer = { outcome: 'unknown', rows: [], code: null }
 
-/** Opens a session. @returns null if the session is refused or no answer arrives */
-export async function openCaller (host: string, port: number, database: string, key: string): Promise<CallerConnection | null> {
+/**
+ * Opens a session.
+ * @param answerTimeoutMs - time after which the caller closes its connection when an answer is missing
+ * @returns null if the session is refused or no answer arrives
+ */
+export async function openCaller (host: string, port: number, database: string, key: string, answerTimeoutMs = DEFAULT_ANSWER_TIMEOUT_MS): Promise<CallerConnection | null> {
   const socket: Socket = connect({ host, port, noDelay: true })
   let unparsed = ''
   let isOpen = true
@@ -65,7 +69,7 @@
 
   async function waitForAnswer (): Promise<Answer> {
     return await new Promise((resolve) => {
-      const timer = setTimeout(end, ANSWER_TIMEOUT_MS)
+      const timer = setTimeout(end, answerTimeoutMs)
       settleAnswer = (answer) => {
         clearTimeout(timer)
         resolve(answer)
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -29,6 +29,8 @@
   authority: string
   /** Additional settings of every instance. */
   settings?: Record<string, unknown>
+  /** File of the program that the instances run. Default: the bundle that the deploy file starts. */
+  program?: string
   /** Command-line arguments of Node.js itself. */
   nodeArguments?: readonly string[]
 }
@@ -83,7 +85,7 @@
     const file = join(folder, `${instance.name}.json`)
     mkdirSync(join(folder, `data-${instance.name}`), { recursive: true })
     writeFileSync(file, JSON.stringify(buildSettings(instance)))
-    const child = spawn(process.execPath, [...options.nodeArguments ?? [], 'target/catkinrelay-platform.cjs', instance.role], { env: { PATH: process.env.PATH, CATKINRELAY_BOOT: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...options.nodeArguments ?? [], options.program ?? 'target/catkinrelay-platform.cjs', instance.role], { env: { PATH: process.env.PATH, CATKINRELAY_BOOT: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(folder, `${instance.name}.log`), { flags: 'a' })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
