entry: a planned stop answers every statement before the process ends

Cause: a stopping instance waited until 0.8 of the stop limit for open transactions, went on taking their statements for another 300 ms, and then destroyed every socket. Nothing bounded an open transaction, ended one with an answer, or stopped taking statements before.

Change: the stages of a stop are decisions of their own (src/decisions/drain/planned-stop.ts), by the time since the signal and not by a chain of pauses. From 0.72 of the limit no statement is sent to a database: one outside of a transaction is refused and ends its session, one inside rolls the transaction back, one that waits for a connection is refused; each says that nothing is kept. From 0.85 statements in progress get a last answer, 'unknown' where they may commit a write, and all sessions are closed. The process ends once the answers were taken, at the latest at 0.95. A stopping lender rolls a loan back at its next statement and tells the borrower that it has not run.

Why it works: a connection ends after an answer or without a statement, at any time and load, since no path is left that destroys a socket with a statement in progress before the limit has passed.

--- a/src/blackboard/entry-instance-entries.ts
+++ b/src/blackboard/entry-instance-entries.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../types/clock.js'
 import { milliseconds } from '../types/clock.js'
 import type { ShareAmount } from '../types/share.js'
+import type { StopStage } from '../types/stop-stage.js'
 import { defineEntry } from './blackboard.js'
 
 /** The manifest in force at this instance. */
@@ -46,5 +47,7 @@
 export const sharesEntry = defineEntry<ReadonlyMap<ResourceId, LeasedShare>>('shares', new Map())
 /** Written by `status-watcher`. A database that stopped answering keeps its last status. */
 export const observedDatabasesEntry = defineEntry<ReadonlyMap<DatabaseId, ObservedDatabase>>('observed-databases', new Map())
-/** Written by `drain`. True after SIGTERM. */
+/** Written by `drain` or `planned-stop`. True after SIGTERM. */
 export const drainingEntry = defineEntry<boolean>('draining', false)
+/** Written by `planned-stop`. */
+export const stopStageEntry = defineEntry<StopStage>('stop-stage', 'none')
--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -8,7 +8,7 @@
 import { chooseDatabase } from './choose-database.js'
 import type { PooledSession } from './pooled-session.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
-import { buildRefusalPromisingNothingKept } from './session-services.js'
+import { buildRefusalPromisingNothingKept, refuseWhileStopping } from './session-services.js'
 import type { SessionValues } from './session-values.js'
 import { runStatement } from './statement-runner.js'
 
@@ -68,7 +68,7 @@
 /**
  * Acquires a connection to a database that may serve the statement or transaction.
  * Database selection is repeated until a connection is ready or the time for unsent statements has passed.
- * @returns the connection, or the refusal `noPrimary` or `noDatabase`
+ * @returns the connection, or the refusal `noPrimary`, `noDatabase` or `shuttingDown`
  */
 export async function acquireConnection (services: SessionServices, requirements: ConnectionRequirements): Promise<AcquiredConnection | SessionRefusal> {
   const { clock, access, pool } = services
@@ -76,6 +76,8 @@
   const sendDeadline = addTime(requirements.arrivedAt, endpoint.statementTimeoutMs * UNSENT_TIME_FRACTION)
   let unavailableReason = ''
   for (;;) {
+    const stopping = refuseWhileStopping(services, 'shuttingDown')
+    if (stopping !== null) return stopping
     const remainingMs = sendDeadline - clock.now()
     if (remainingMs <= 0) return buildRefusalPromisingNothingKept(unavailableReason === '' ? 'noDatabase' : 'noPrimary', unavailableReason === '' ? 'no connection to a database became free before the statement deadline' : unavailableReason, PRIMARY_RETRY_MS)
     const target = selectTarget(services, requirements)
--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -1,8 +1,9 @@
 import type { DatabaseId } from '../../types/ids.js'
-import type { SessionAnswer, SessionRefusal, SessionState, SessionStatement } from '../../types/session-statement.js'
+import type { SessionAnswer, SessionRefusal, SessionState, SessionStatement, StatementAccess } from '../../types/session-statement.js'
 import type { SessionContext } from './session-context.js'
 import { admitOperation } from './session-context.js'
 import type { SessionServices } from './session-services.js'
+import { buildRefusalPromisingNothingKept } from './session-services.js'
 import type { SessionTransaction } from './session-transaction.js'
 import { openTransaction } from './session-transaction.js'
 import { createSessionValues } from './session-values.js'
@@ -17,10 +18,23 @@
   database: () => DatabaseId | null
   /** @returns whether a transaction is open or a statement is in progress */
   isBusy: () => boolean
+  /**
+   * Gives the statement in progress its last answer, and rolls back an open transaction. The outcome is unknown when the statement may
+   * commit a write; nothing is kept otherwise.
+   */
+  interrupt: () => void
   /** Ends the session: rolls back an open transaction and releases its connection. */
   close: () => void
 }
 
+const INTERRUPTION_MESSAGE = 'the instance is stopping and does not wait for the answer of the database'
+
+/** @param canCommitWrite - whether the interrupted statement may commit a write */
+function buildInterruptionRefusal (canCommitWrite: boolean): SessionRefusal {
+  if (canCommitWrite) return { result: 'outcomeUnknown', promise: 'unknown', message: INTERRUPTION_MESSAGE, retryAfterMs: null }
+  return buildRefusalPromisingNothingKept('transactionAborted', INTERRUPTION_MESSAGE, 0)
+}
+
 /** Statements that the session handles without a database. */
 type LocalStatement = Extract<SessionStatement, { kind: 'set' | 'prepare' | 'deallocate' }>
 
@@ -37,6 +51,8 @@
   const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null, database: null }
   let transaction: SessionTransaction | null = null
   let isRunning = false
+  let isClosed = false
+  let interruptStatement = (): void => {}
 
   function currentState (): SessionState {
     if (transaction === null) return 'idle'
@@ -57,6 +73,7 @@
     if (transaction !== null) return toRejection('malformedRequest', 'a transaction is already open')
     const grant = await admitOperation(context, id)
     if ('refusal' in grant) return toAnswer({ kind: 'refused', refusal: grant.refusal }, grant.ends)
+    if (isClosed) return toAnswer({ kind: 'refused', refusal: buildInterruptionRefusal(false) }, true)
     transaction = openTransaction(context, readOnly)
     return toDoneAnswer()
   }
@@ -74,10 +91,15 @@
     return toAnswer(outcome, ends)
   }
 
+  /** @returns what a statement does; null when it runs nothing, or executes a statement that is not prepared */
+  function findAccess (statement: SessionStatement): StatementAccess | null {
+    if (statement.kind === 'run') return statement.access
+    return statement.kind === 'execute' ? context.values.prepared.get(statement.name)?.access ?? null : null
+  }
+
   async function run (id: string, statement: Extract<SessionStatement, { kind: 'run' | 'execute' }>): Promise<SessionAnswer> {
-    const definition = statement.kind === 'execute' ? context.values.prepared.get(statement.name) : undefined
-    if (statement.kind === 'execute' && definition === undefined) return toRejection('unknownStatement', 'no statement of that name is prepared')
-    const kind = statement.kind === 'run' ? statement.access : definition?.access ?? 'write'
+    const kind = findAccess(statement)
+    if (kind === null) return toRejection('unknownStatement', 'no statement of that name is prepared')
     if (transaction !== null) return await runInTransaction(transaction, id, statement, kind)
     const { outcome, ends } = await runSingleStatement(context, id, statement, kind)
     return toAnswer(outcome, ends)
@@ -103,13 +125,36 @@
     }
   }
 
+  /** @returns whether a statement commits a write if it runs */
+  function canCommitWrite (statement: SessionStatement): boolean {
+    if (statement.kind === 'commit') return transaction?.hasWritten() === true
+    return transaction === null && findAccess(statement) === 'write'
+  }
+
+  function close (): void {
+    isClosed = true
+    transaction?.rollback()
+    transaction = null
+  }
+
   async function handle (id: string, statement: SessionStatement): Promise<SessionAnswer> {
     isRunning = true
-    try {
-      return await dispatch(id, statement)
-    } finally {
-      isRunning = false
-    }
+    return await new Promise((resolve, reject) => {
+      interruptStatement = () => {
+        const refusal = buildInterruptionRefusal(canCommitWrite(statement))
+        close()
+        services.logEvent('statementInterrupted', { requestId: id, kind: statement.kind, database: context.database, promise: refusal.promise })
+        settle(() => { resolve(toAnswer({ kind: 'refused', refusal }, true)) })
+      }
+      dispatch(id, statement).then((answer) => { settle(() => { resolve(answer) }) }, (error: unknown) => { settle(() => { reject(error) }) })
+    })
+  }
+
+  /** Ends the statement in progress. A statement that was interrupted may still be answered by its database; the answer is ignored. */
+  function settle (respond: () => void): void {
+    isRunning = false
+    interruptStatement = () => {}
+    respond()
   }
 
   return {
@@ -117,9 +162,7 @@
     state: currentState,
     database: () => context.database,
     isBusy: () => isRunning || transaction !== null,
-    close: () => {
-      transaction?.rollback()
-      transaction = null
-    }
+    interrupt: () => { interruptStatement() },
+    close
   }
 }
--- a/src/decisions/caller-sessions/connection-lending.ts
+++ b/src/decisions/caller-sessions/connection-lending.ts
@@ -3,6 +3,8 @@
 import type { DirectoryDatabase } from '../../types/directory.js'
 import type { DatabaseId } from '../../types/ids.js'
 import type { EndLoan, LoanAnswer, LoanTerms, LoanStatementRequest, SentValues } from '../../types/session-peer-message.js'
+import type { StopStage } from '../../types/stop-stage.js'
+import { hasReached } from '../../types/stop-stage.js'
 import type { DatabaseHealth } from './database-health.js'
 import type { PooledSession } from './pooled-session.js'
 import type { SessionPool } from './session-pool.js'
@@ -22,8 +24,8 @@
   health: DatabaseHealth
   /** @returns the database as the directory lists it, or null when it is not listed */
   findDatabase: (database: DatabaseId) => DirectoryDatabase | null
-  /** @returns whether this instance is draining and starts no new loans */
-  isDraining: () => boolean
+  /** @returns the stage of a planned stop of this instance; from the first one on it starts no new loans */
+  stopStage: () => StopStage
 }
 
 /** Lends connections of this instance to other instances. A borrower is one channel of another instance, and numbers its loans itself. */
@@ -53,7 +55,7 @@
 
 /** Creates the lender, without loans. */
 export function createConnectionLending (options: ConnectionLendingOptions): ConnectionLending {
-  const { clock, pool, health, findDatabase: find, isDraining, after, logEvent } = options
+  const { clock, pool, health, findDatabase: find, stopStage, after, logEvent } = options
   const loans = new Map<string, Map<number, Loan>>()
 
   function findLoan (borrower: string, number: number): Loan | undefined {
@@ -76,7 +78,7 @@
 
   /** @returns null when the loan has a connection, otherwise why the statement was not run */
   async function acquireForLoan (loan: Loan, terms: LoanTerms, deadline: Milliseconds): Promise<LoanAnswer | null> {
-    if (isDraining()) return { kind: 'not-run', cause: 'draining' }
+    if (hasReached(stopStage(), 'announced')) return { kind: 'not-run', cause: 'draining' }
     const database = find(terms.database)
     if (database === null || database.weight === 0) return { kind: 'not-run', cause: 'no-connection' }
     const acquired = await pool.acquire(database, terms.workspace, terms.priority, Math.min(terms.waitMs, deadline - clock.now()))
@@ -110,6 +112,10 @@
       }
     }
     if (loan?.pooled == null || loan.isEnded) return { kind: 'loss', message: 'the loan of this connection has ended', silent: false }
+    if (hasReached(stopStage(), 'refusing')) {
+      finishLoan(borrower, call.loan, loan.pooled, false)
+      return { kind: 'not-run', cause: 'draining' }
+    }
     if (call.values !== null) loan.values = call.values
     return await runOnLoan(borrower, call, loan, loan.pooled, deadline)
   }
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -7,6 +7,7 @@
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
 import type { PooledSession } from './pooled-session.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
+import { refuseWhileStopping } from './session-services.js'
 import type { SessionValues } from './session-values.js'
 import { runStatement } from './statement-runner.js'
 
@@ -44,7 +45,7 @@
 }
 
 /**
- * Admits an operation: checks endpoint and key against the manifest in force and takes a token of the workspace's rate.
+ * Admits an operation: checks that the instance is not stopping, and endpoint and key against the manifest in force and takes a token of the workspace's rate.
  * Called for each single statement and each `begin`. The statements of a transaction take no further token.
  * @returns endpoint and workspace of the operation, or the refusal and whether it ends the session
  */
@@ -57,6 +58,11 @@
     // Every later operation would get the same refusal, so the session ends.
     return { refusal: grant, ends: true }
   }
+  const stopping = refuseWhileStopping(services, 'shuttingDown')
+  if (stopping !== null) {
+    logRefusal(context, id, stopping, startedAt, grant)
+    return { refusal: stopping, ends: true }
+  }
   const refusal = await services.admit(grant.workspace, addTime(startedAt, grant.endpoint.statementTimeoutMs))
   if (refusal === null) return grant
   logRefusal(context, id, refusal, startedAt, grant)
--- a/src/decisions/caller-sessions/session-services.ts
+++ b/src/decisions/caller-sessions/session-services.ts
@@ -3,6 +3,8 @@
 import type { LogEvent } from '../../types/log-event.js'
 import type { SessionEndpoint } from '../../types/manifest.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
+import type { StopStage } from '../../types/stop-stage.js'
+import { hasReached } from '../../types/stop-stage.js'
 import type { DatabaseHealth } from './database-health.js'
 import type { GroupAccess } from './group-access.js'
 import type { SessionPool } from './session-pool.js'
@@ -39,6 +41,8 @@
   admit: (workspace: WorkspaceId, deadline: Milliseconds) => Promise<SessionRefusal | null>
   /** @returns longest time between two statements of a transaction in milliseconds */
   idleTransactionMs: () => number
+  /** @returns the stage of a planned stop of this instance */
+  stopStage: () => StopStage
   /** Calls back after a time in milliseconds. @returns a function that cancels the call */
   after: (durationMs: number, callback: () => void) => () => void
   logEvent: LogEvent
@@ -52,3 +56,12 @@
 export function buildRefusalPromisingNothingKept (result: SessionRefusal['result'], message: string, retryAfterMs: number | null): SessionRefusal {
   return { result, promise: 'nothing-kept', message, retryAfterMs }
 }
+
+/**
+ * @returns the refusal of a statement that a stopping instance does not send to a database any more; null while it sends statements.
+ * Other instances can serve the caller at once.
+ */
+export function refuseWhileStopping ({ stopStage }: Pick<SessionServices, 'stopStage'>, result: 'shuttingDown' | 'transactionAborted'): SessionRefusal | null {
+  if (!hasReached(stopStage(), 'refusing')) return null
+  return buildRefusalPromisingNothingKept(result, 'the instance is stopping and sends no more statements to databases', 0)
+}
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -7,7 +7,7 @@
 import type { SessionContext } from './session-context.js'
 import { buildDecisionDetails, recordFinishedOperation, releaseOrDiscard, MIN_RUN_MS, logRefusal, buildRequirements, recordDatabaseRefusal, recordReplyPosition, computeRemainingMs, rollBackAndRelease } from './session-context.js'
 import type { SessionGrant } from './session-services.js'
-import { buildRefusalPromisingNothingKept } from './session-services.js'
+import { buildRefusalPromisingNothingKept, refuseWhileStopping } from './session-services.js'
 import { RETRY_AFTER_MS, buildLossRefusal, buildReplyRefusal } from './statement-refusal.js'
 import { runStatement } from './statement-runner.js'
 
@@ -28,6 +28,8 @@
    * - `ended`: the session has no open transaction any more
    */
   state: () => 'open' | 'failed' | 'ended'
+  /** @returns whether the commit would keep a write */
+  hasWritten: () => boolean
   /** Runs a statement, or the commit. */
   run: (id: string, statement: SessionStatement, kind: TransactionStatementKind) => Promise<TransactionAnswer>
   /** Ends the transaction. Its rollback is sent at once, or after the answer to the statement in flight. */
@@ -90,6 +92,8 @@
 
   async function run (id: string, statement: SessionStatement, kind: TransactionStatementKind): Promise<TransactionAnswer> {
     const arrivedAt = clock.now()
+    const stopping = refuseWhileStopping(services, 'transactionAborted')
+    if (stopping !== null) abort(stopping)
     if (state !== 'open') return answerAfterFailure(kind)
     const grant = services.authorize(endpointName, keyDigest)
     if ('promise' in grant) {
@@ -202,6 +206,7 @@
   restartIdleTimer()
   return {
     state: () => state,
+    hasWritten: () => hasWritten,
     run,
     rollback: () => {
       state = 'ended'
--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -7,7 +7,7 @@
 import type { Hello } from '../adapters/ws/message-channel.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
 import { createBlackboard } from '../blackboard/blackboard.js'
-import { directoryEntry, drainingEntry, freshnessEntry, manifestEntry, sharesEntry } from '../blackboard/entry-instance-entries.js'
+import { directoryEntry, drainingEntry, freshnessEntry, manifestEntry, sharesEntry, stopStageEntry } from '../blackboard/entry-instance-entries.js'
 import type { CallerSession } from '../decisions/caller-sessions/caller-session.js'
 import { openCallerSession } from '../decisions/caller-sessions/caller-session.js'
 import { createDatabaseHealth } from '../decisions/caller-sessions/database-health.js'
@@ -17,6 +17,7 @@
 import { createSessionPool } from '../decisions/caller-sessions/session-pool.js'
 import { createConnectionPlacement, createSharedPool } from '../decisions/caller-sessions/shared-pool.js'
 import type { FinishedOperation, SessionServices } from '../decisions/caller-sessions/session-services.js'
+import { createPlannedStop } from '../decisions/drain/planned-stop.js'
 import { createControlAttachment } from '../decisions/freshness/control-attachment.js'
 import { createShareHolder } from '../decisions/limits/share-holder.js'
 import { createTokenBuckets } from '../decisions/limits/token-buckets.js'
@@ -30,6 +31,7 @@
 import type { LogEvent } from '../types/log-event.js'
 import type { SessionRefusal } from '../types/session-statement.js'
 import { resultCodes } from '../types/result-code.js'
+import type { StopStage } from '../types/stop-stage.js'
 import { createControlLink } from './control-link.js'
 import { createPeerCalls } from './peer-calls.js'
 import { createPeerCallHandler } from './peer-call-handler.js'
@@ -43,6 +45,8 @@
 const URGENT_DURATION_MS = 400
 /** Time between two ticks of the connection pool, in milliseconds. A tick closes connections that were idle for too long. */
 const POOL_TICK_MS = 250
+/** Time between two ticks of a planned stop, in milliseconds. */
+const STOP_TICK_MS = 25
 /**
  * Longest wait of an operation for a token of the workspace's rate, in milliseconds: the time within which the leader moves a share.
  * A longer wait would delay every operation of a workspace that is above its rate.
@@ -81,8 +85,12 @@
   notReadyReason: () => string | null
   /** @returns the number of connections that other instances have borrowed */
   countLentConnections: () => number
-  /** Marks the instance as draining: its readiness fails, and heartbeats report it to the control leader. */
-  beginDrain: () => void
+  /** Begins a planned stop: readiness fails, and heartbeats report it to the control leader. @param limitMs - time until the kill in milliseconds */
+  beginStop: (limitMs: number) => void
+  /** Calls the listener with each stage of a planned stop. */
+  onStopStage: (listener: (stage: StopStage) => void) => void
+  /** @returns time since the planned stop began in milliseconds; 0 before it */
+  stopElapsedMs: () => number
   /** Ends all service and notifies the control leader, which may then grant the shares of this instance to others. */
   leave: () => void
   renderMetrics: () => Promise<{ contentType: string, text: string }>
@@ -103,10 +111,12 @@
   const { clock, logEvent, instance, failureDomain } = options
   const ownAddress = address(`${options.peers.host}:${options.peers.port}`)
   const blackboard = createBlackboard()
-  const draining = blackboard.claim(drainingEntry, 'drain')
+  const draining = blackboard.reader(drainingEntry)
+  const stopStage = blackboard.reader(stopStageEntry)
   const manifest = blackboard.reader(manifestEntry)
   const directory = blackboard.reader(directoryEntry)
   const freshness = blackboard.reader(freshnessEntry)
+  const plannedStop = createPlannedStop({ clock, blackboard })
   const incarnation = incarnationId(`${instance}.${randomBytes(INCARNATION_BYTES).toString('base64url')}`)
   const metrics = createMetrics()
   const health = createDatabaseHealth(clock)
@@ -147,7 +157,7 @@
     after: callAfter
   })
   const pool = createSharedPool({ instance, own: ownPool, placement, calls, health })
-  const lending = createConnectionLending({ clock, pool: ownPool, health, findDatabase: access.findDatabase, isDraining: draining.read, after: callAfter, logEvent })
+  const lending = createConnectionLending({ clock, pool: ownPool, health, findDatabase: access.findDatabase, stopStage: stopStage.read, after: callAfter, logEvent })
   const peerServer = await listenForMessages({
     ...options.peers,
     clusterSecret: options.clusterSecret,
@@ -205,6 +215,7 @@
     authorize: endpoints.authorize,
     admit: admission.admit,
     idleTransactionMs: () => manifest.read()?.manifest.sessionLimits?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
+    stopStage: stopStage.read,
     after: callAfter,
     logEvent,
     onFinished
@@ -283,10 +294,13 @@
     openSession,
     notReadyReason,
     countLentConnections: lending.count,
-    beginDrain: () => {
-      draining.write(true)
+    beginStop: (limitMs) => {
+      plannedStop.begin(limitMs)
+      repeatByTimer(STOP_TICK_MS, plannedStop.tick)
       link.handle({ kind: 'request-heartbeat' })
     },
+    onStopStage: stopStage.onWrite,
+    stopElapsedMs: plannedStop.elapsedMs,
     leave: () => {
       stopService()
       link.handle({ kind: 'forward', message: { version: 1, kind: 'leave', instance, incarnation } })
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -60,6 +60,7 @@
   operationRefused: { event: 504, name: 'operation-refused', level: 'info', meaning: 'A session operation was refused; gives the result, what the refusal promises, and the inputs of the decision.' },
   statementRetried: { event: 505, name: 'statement-retried', level: 'info', meaning: 'A statement that has not run is retried, usually at another database.' },
   callerConnectionCut: { event: 507, name: 'caller-connection-cut', level: 'warn', meaning: 'This instance ended the connection of a caller with a statement in progress or before the operating system had taken the whole answer; gives the statement, its age, the state of the session, the database of its connection, and the bytes not taken.' },
+  statementInterrupted: { event: 508, name: 'statement-interrupted', level: 'warn', meaning: 'A stopping instance answered a statement that its database had not answered yet; gives the database and what the answer promises.' },
   linesDropped: { event: 506, name: 'lines-dropped', level: 'warn', meaning: 'Log lines were dropped to bound their volume.' },
   wrongfulRefusal: { event: 502, name: 'wrongful-refusal', level: 'warn', meaning: 'A request within the rate of its workspace was refused.' },
 
--- a/test/decisions/caller-sessions/borrowed-session.test.ts
+++ b/test/decisions/caller-sessions/borrowed-session.test.ts
@@ -28,7 +28,7 @@
 
 t.test('a draining connection holder starts no new loan, and without any holder the instance opens its own connection', async (t) => {
   const harness = createSessionHarness('primary', 'borrowed')
-  harness.peers.isDraining = true
+  harness.peers.stopStage = 'announced'
   const answer = harness.open().handle('1', write)
   await harness.advance(100)
   t.equal(promiseOf(await answer), 'done')
--- a/test/entry/peer-calls.test.ts
+++ b/test/entry/peer-calls.test.ts
@@ -46,7 +46,7 @@
     pool,
     health,
     findDatabase: () => listed,
-    isDraining: () => false,
+    stopStage: () => 'none',
     after: callAfter,
     logEvent: (name, details) => { if (name === 'loanStatementLate') lateStatements.push(details) }
   })
--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -41,6 +41,7 @@
       state: () => 'idle',
       database: () => null,
       isBusy: () => running > 0,
+      interrupt: () => {},
       close: () => { closed++ }
     }
   }
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -49,7 +49,7 @@
     return { outcome: { kind: 'done', rows: ['row'], proof: 'proof' }, state, position: { term: 1, offset: 1 }, ends: false }
   }
 
-  const session: CallerSession = { handle, state: () => state, database: () => null, isBusy: () => running > 0 || state !== 'idle', close: () => {} }
+  const session: CallerSession = { handle, state: () => state, database: () => null, isBusy: () => running > 0 || state !== 'idle', interrupt: () => {}, close: () => {} }
   const port = await findFreePort()
   const openSession = async (): Promise<CallerSession> => {
     if (holdsOpening) await new Promise<void>((resolve) => { openNow = resolve })
