entry: a planned stop of the HTTP program answers the requests that are left at its time limit

At the drain limit the HTTP entry program closed its executors and ended the process; requests in flight lost their connection without an answer.

Change: at the limit each pending request is settled, as not run before its dispatch and as unknown after it, and its attempt is cancelled; later requests are refused. The listener then has 300 ms to deliver the answers.

Tests: two in request-service.test.ts; the method did not exist before, and a pending request had no outcome.

--- /dev/null
+++ b/src/adapters/timers/sleep.ts
@@ -0,0 +1,4 @@
+/** Resolves after a time in milliseconds. */
+export function sleep (durationMs: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, durationMs) })
+}
--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -7,6 +7,7 @@
 import { createDatabaseConnectionOpener } from '../adapters/postgres/open-database-connection.js'
 import { createWatchDatabaseStatus } from '../adapters/postgres/watch-database-status.js'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
+import { sleep } from '../adapters/timers/sleep.js'
 import type { Hello } from '../adapters/ws/message-channel.js'
 import type { MessageServer } from '../adapters/ws/message-server.js'
 import { listenForMessages } from '../adapters/ws/message-server.js'
@@ -47,6 +48,8 @@
 /** Time within which the load balancer notices a failed readiness probe, in milliseconds. */
 const DEFAULT_BALANCER_NOTICE_MS = 1000
 const INCARNATION_BYTES = 8
+/** Time for the answers that end the requests left at the drain limit to reach their callers, in milliseconds. */
+const LAST_ANSWER_MS = 300
 /** Requester name under which this instance sends requests to its own executors. */
 const OWN_REQUESTER = 'self'
 
@@ -71,7 +74,7 @@
   manifestVersion: () => number
   /** @returns bytes of messages sent to and received from control instances so far */
   countControlBytes: () => number
-  /** Finishes pending work and stops. Resolves when no work is left or the drain limit has expired. */
+  /** Finishes pending work and stops. At the drain limit, the requests that are left get their last answer. */
   drain: () => Promise<void>
   /** Stops at once without finishing any work, as if the process had crashed. */
   kill: () => Promise<void>
@@ -79,10 +82,6 @@
   reloadTls: () => void
 }
 
-function sleep (durationMs: number): Promise<void> {
-  return new Promise((resolve) => { setTimeout(resolve, durationMs) })
-}
-
 /**
  * Starts an entry instance for HTTP callers and connects the parts of a request's path. The request service dispatches each request to a
  * connection holder: over a holder channel, or directly to the executors of this instance. The answer returns on the same path.
@@ -322,7 +321,8 @@
     await sleep(Math.min(options.balancerNoticeMs ?? DEFAULT_BALANCER_NOTICE_MS, settings.drainMs))
     const callersClosed = callerServer.close()
     while (!isIdle() && clock.now() < drainUntil) await sleep(TICK_MS)
-    await Promise.race([callersClosed, sleep(Math.max(0, drainUntil - clock.now()))])
+    service.interrupt()
+    await Promise.race([callersClosed, sleep(Math.max(LAST_ANSWER_MS, drainUntil - clock.now()))])
     await stop()
     logEvent('stopped')
   }
--- a/src/entry/request-service.ts
+++ b/src/entry/request-service.ts
@@ -64,6 +64,8 @@
   /** Handles the loss of the channel to a connection holder: requests sent over it get no answer. */
   handlePeerLoss: (peer: InstanceId) => void
   tick: () => void
+  /** Ends a planned stop: each pending request gets its last answer, and each later one is refused. */
+  interrupt: () => void
   /** @returns the number of requests without an outcome */
   countPending: () => number
 }
@@ -71,6 +73,8 @@
 type RequestResult = Pick<FinishedCallerRequest, 'outcome' | 'wrongful' | 'admittedAt'>
 
 interface PendingRequest {
+  /** Cancels the request and settles it: as not run unless it was dispatched. */
+  interrupt: () => void
   settle: (outcome: Outcome, wrongful: boolean) => void
   startDispatch: () => void
 }
@@ -86,6 +90,7 @@
   let manifestIndex: ManifestIndex | null = null
   let requestCount = 0
   let limiterTimer: NodeJS.Timeout | null = null
+  let isInterrupted = false
 
   manifestReader.onWrite((inForce) => { manifestIndex = inForce === null ? null : indexManifest(inForce.manifest) })
 
@@ -144,6 +149,7 @@
 
   /** Checks everything that needs neither limits nor a database: freshness, key, route, statement and session token. */
   function checkRequest (request: CallerRequest): Refusal | { authorized: AuthorizedRequest, required: LogPosition | null } {
+    if (isInterrupted) return buildRefusal('shuttingDown', 'not-run', 'the instance is stopping', 0)
     if (manifestIndex === null || clock.now() >= freshnessReader.read().validUntil) return buildRefusal('notFresh', 'not-run', 'the instance can not prove that its configuration is current', 0)
     const authorized = authorize(manifestIndex, request.key === null ? null : findOrCreateDigest(request.key), request.operation)
     if (authorized.isErr()) return authorized.error
@@ -190,6 +196,11 @@
           signal.removeEventListener('abort', handleAbort)
           resolve({ outcome, wrongful, admittedAt })
         },
+        interrupt: () => {
+          if (!isDispatched) return cancelBeforeDispatch(buildRefusal('shuttingDown', 'not-run', 'the instance is stopping', 0))
+          pendingRequest.settle(buildRefusal('outcomeUnknown', 'unknown', 'the instance is stopping and does not wait for the answer of the database'), false)
+          dispatch({ kind: 'caller-lost', requestId: id })
+        },
         startDispatch: () => {
           isDispatched = true
           if (!isExemptFromRate(authorized)) admittedAt = clock.now()
@@ -197,12 +208,13 @@
         }
       }
       function handleAbort (): void {
-        if (isDispatched) {
-          dispatch({ kind: 'caller-lost', requestId: id })
-          return
-        }
+        if (isDispatched) dispatch({ kind: 'caller-lost', requestId: id })
+        else cancelBeforeDispatch(buildRefusal('deadlineExceeded', 'not-run', 'the caller disconnected before the request was sent'))
+      }
+
+      function cancelBeforeDispatch (refusal: Refusal): void {
         carryOutLimiterEffects(limiter.handle({ kind: 'cancel', requestId: id, workspace }))
-        pendingRequest.settle(buildRefusal('deadlineExceeded', 'not-run', 'the caller disconnected before the request was sent'), false)
+        pendingRequest.settle(refusal, false)
       }
       pending.set(id, pendingRequest)
       signal.addEventListener('abort', handleAbort)
@@ -234,6 +246,10 @@
       carryOutLimiterEffects(limiter.tick())
       carryOutDispatcherEffects(dispatcher.tick())
     },
+    interrupt: () => {
+      isInterrupted = true
+      for (const request of [...pending.values()]) request.interrupt()
+    },
     countPending: () => pending.size
   }
 }
--- a/test/entry/request-service.test.ts
+++ b/test/entry/request-service.test.ts
@@ -35,7 +35,8 @@
   }
 }
 
-function setUp () {
+/** @param outcomes - `pending`: dispatched requests get no outcome; `waiting`: requests wait for a token of the rate */
+function setUp (outcomes: 'success' | 'pending' | 'waiting' = 'success') {
   const clock = createFakeClock()
   const blackboard = createBlackboard()
   const manifest = blackboard.claim(manifestEntry, 'test')
@@ -43,7 +44,7 @@
   const dispatched: DispatcherMessage[] = []
   const finished: FinishedCallerRequest[] = []
   const limiter: WorkspaceLimiter = {
-    handle: (message) => message.kind === 'admit' ? [{ kind: 'admitted', requestId: message.requestId, waitedMs: 0 }] : [],
+    handle: (message) => message.kind === 'admit' && outcomes !== 'waiting' ? [{ kind: 'admitted', requestId: message.requestId, waitedMs: 0 }] : [],
     tick: () => [],
     demand: () => [],
     nextTickAt: () => null
@@ -51,7 +52,7 @@
   const dispatcher: RequestDispatcher = {
     handle: (message) => {
       dispatched.push(message)
-      return message.kind === 'request' ? [{ kind: 'outcome', requestId: message.request.requestId, outcome: success }] : []
+      return message.kind === 'request' && outcomes === 'success' ? [{ kind: 'outcome', requestId: message.request.requestId, outcome: success }] : []
     },
     tick: () => [],
     countActive: () => 0
@@ -75,7 +76,7 @@
     const request: CallerRequest = { key: KEY, operation: { kind: 'statement', statement: 'select 1', values: [], access: 'read' }, sessionToken: null, sessionId: null, idempotencyKey: null, nonIdempotent: false, oldestAgeMs: null, deadlineMs: null, ...change }
     return (await service.serve(request, new AbortController().signal)).outcome
   }
-  return { clock, manifest, dispatched, finished, serve }
+  return { clock, manifest, dispatched, finished, serve, service }
 }
 
 t.test('dispatched and finished requests contain the id of the key, but neither the key nor its digest', async (t) => {
@@ -124,3 +125,21 @@
   t.match(await serve({ key: null, operation: { kind: 'route', name: 'open', values: [] } }), { kind: 'success' })
   t.match(dispatched, [{ request: { keyId: null, workspace: 'shop' } }])
 })
+
+t.test('a stop that has reached its time limit answers the requests that are left instead of cutting them off', async (t) => {
+  const { serve, service, dispatched } = setUp('pending')
+  const answered = serve()
+  service.interrupt()
+  t.match(await answered, { kind: 'refusal', code: resultCodes.outcomeUnknown.code, outcome: 'unknown' })
+  t.same(dispatched.map(({ kind }) => kind), ['request', 'caller-lost'])
+  t.match(await serve(), { kind: 'refusal', code: resultCodes.shuttingDown.code, outcome: 'not-run' })
+  t.equal(service.countPending(), 0)
+})
+
+t.test('a request that waits for its rate as a stop reaches its time limit is answered as not run', async (t) => {
+  const { serve, service, dispatched } = setUp('waiting')
+  const answered = serve()
+  service.interrupt()
+  t.match(await answered, { kind: 'refusal', code: resultCodes.shuttingDown.code, outcome: 'not-run' })
+  t.same(dispatched, [])
+})
