--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -191,3 +191,13 @@
   t.equal(fixture.server.countBusy(), 0)
   fixture.server.close()
 })
+
+t.test('an unexpected error while a statement is handled is answered before the connection ends', async (t) => {
+  const fixture = await startServer(async () => { throw new Error('unexpected') })
+  const client = connectCaller(fixture.port)
+  client.socket.write('START shop k\r\n')
+  await client.until(/READY/)
+  client.socket.write('QUERY a WRITE x y\r\n')
+  t.match(await client.ended, /^READY I -\r\nERROR UNKNOWN [^\n]*\r\nREADY I -\r\n$/)
+  fixture.server.close()
+})
