sessions: a write that ran with an error counts for the outcome of its commit

What callers could see: a write that ran and failed inside a transaction that stayed open, then a commit without an answer, which was answered as 'nothing kept' although the database may have committed. Found by reading while the answers of a stop were written.

Cause: only a write that was done made the transaction a writing one.

--- a/test/decisions/caller-sessions/stopping-instance.test.ts
+++ b/test/decisions/caller-sessions/stopping-instance.test.ts
@@ -2,7 +2,7 @@
 // answers that it gives in their place.
 import t from 'tap'
 import type { SessionStatement } from '../../../src/types/session-statement.js'
-import { createSessionHarness, promiseOf, read, write } from './fixtures/session-harness.js'
+import { createSessionHarness, promiseOf, read, refusedReply, write } from './fixtures/session-harness.js'
 
 const begin: SessionStatement = { kind: 'begin', readOnly: false }
 const commit: SessionStatement = { kind: 'commit' }
@@ -101,3 +101,13 @@
   t.same(harness.statementKindsAt('p'), ['run'])
   t.equal(harness.lending.count(), 0)
 })
+
+t.test('the commit after a write that ran and failed inside an open transaction has an unknown outcome when it is lost', async (t) => {
+  const harness = createSessionHarness('primary')
+  const session = harness.open()
+  await session.handle('1', begin)
+  await session.handle('2', read)
+  harness.database('p').react = ({ id }) => id === '3' ? refusedReply('failed', 'transaction') : id === '4' ? 'lost' : undefined
+  t.equal(promiseOf(await session.handle('3', write)), 'ran')
+  t.equal(promiseOf(await session.handle('4', commit)), 'unknown')
+})
