--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -31,6 +31,8 @@
   /** Lets a session that is being opened be opened. */
   open: () => void
   drain: () => void
+  /** Ends all sessions, with a last answer to what is in progress. */
+  finish: () => void
   countBusy: () => number
 }
 
@@ -41,6 +43,12 @@
   let openNow = (): void => {}
   let state: 'idle' | 'transaction' = 'idle'
   let running = 0
+  let interrupted = false
+
+  function interrupt (): void {
+    interrupted = true
+    for (const resolve of waiting.splice(0)) resolve()
+  }
 
   async function handle (_id: string, statement: SessionStatement): Promise<SessionAnswer> {
     ran.push(statement.kind)
@@ -49,10 +57,11 @@
     else await new Promise<void>((resolve) => { waiting.push(resolve) })
     if (statement.kind === 'commit' || statement.kind === 'rollback') state = 'idle'
     running--
+    if (interrupted) return { outcome: { kind: 'refused', refusal: { result: 'transactionAborted', promise: 'nothing-kept', message: 'interrupted', retryAfterMs: 0 } }, state: 'idle', position: null, ends: true }
     return { outcome: { kind: 'done', rows: ['row'], proof: 'proof' }, state, position: { term: 1, offset: 1 }, ends: false }
   }
 
-  const session: CallerSession = { handle, state: () => state, database: () => null, isBusy: () => running > 0 || state !== 'idle', interrupt: () => {}, close: () => {} }
+  const session: CallerSession = { handle, state: () => state, database: () => null, isBusy: () => running > 0 || state !== 'idle', interrupt, close: () => {} }
   const port = await findFreePort()
   const openSession = async (): Promise<CallerSession> => {
     if (holdsOpening) await new Promise<void>((resolve) => { openNow = resolve })
@@ -89,6 +98,7 @@
     answer: () => { waiting.shift()?.() },
     open: () => { openNow() },
     drain: () => { for (let count = 0; count < DRAIN_COUNT; count++) server.drain() },
+    finish: server.finish,
     countBusy: server.countBusy
   }
 }
@@ -150,6 +160,35 @@
     ran: ['run'],
     received: new RegExp(`^READY I -\r\n${READ_ANSWER.replace('.', '\\.')}$`)
   },
+  {
+    title: 'a transaction whose next statement has arrived and was not read when all sessions end',
+    before: async ({ send, until, finish }) => {
+      send('START s k\r\n')
+      await until(/READY/)
+      send('QUERY a BEGIN\r\n')
+      await until(/READY T/)
+      send('QUERY b ROLLBACK\r\n')
+      blockEventLoop(50)
+      finish()
+    },
+    after: async ({ answer }) => { answer() },
+    ran: ['begin', 'rollback'],
+    received: /READY T [^\n]*\nERROR ABORTED [^\n]*\r\nREADY I -\r\n$/
+  },
+  {
+    title: 'a statement whose answer arrives as all sessions end',
+    before: async ({ send, until, answer, finish }) => {
+      send('START s k\r\n')
+      await until(/READY/)
+      send('QUERY a READ x\r\n')
+      await settle()
+      finish()
+      answer()
+    },
+    after: async () => {},
+    ran: ['run'],
+    received: new RegExp(`^READY I -\r\n${READ_ANSWER.replace('.', '\\.')}$`)
+  },
   {
     title: 'a session at rest, whose caller sends after it was closed',
     before: async ({ send, until }) => { send('START s k\r\n'); await until(/READY/) },
