entry: a caller that ends its side after a statement receives the answer

Cause: the server closed its side as soon as the caller had closed its own.

Test: in caller-wire.test.ts, failed before (the connection ended after 'READY I -').

--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -201,3 +201,17 @@
   t.match(await client.ended, /^READY I -\r\nERROR UNKNOWN [^\n]*\r\nREADY I -\r\n$/)
   fixture.server.close()
 })
+
+t.test('a caller that ends its side after a statement receives the answer', async (t) => {
+  const fixture = await startServer(async () => {
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    return done
+  })
+  const client = connectCaller(fixture.port, true)
+  client.socket.write('START shop k\r\n')
+  await client.until(/READY/)
+  client.socket.end('QUERY a READ x\r\n')
+  t.match(await client.ended, /DONE p\r\nREADY I 3\.9\r\n$/)
+  while (fixture.closed() === 0) await new Promise((resolve) => { setImmediate(resolve) })
+  fixture.server.close()
+})
