--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -1,16 +1,18 @@
 import { randomUUID } from 'node:crypto'
-import { access, constants, mkdir, open } from 'node:fs/promises'
-import type { FileHandle } from 'node:fs/promises'
+import { constants } from 'node:fs/promises'
 import { dirname } from 'node:path'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
+import type { LogEntry, TermVote } from '../../types/consensus-entry.js'
 import type { ControlStorage, DurableRecord, RestoredMember, StorageFailure } from '../../types/control-storage.js'
 import type { MemberId } from '../../types/ids.js'
 import { memberId } from '../../types/ids.js'
 import { resultCodes } from '../../types/result-code.js'
 import { dataFolderPaths } from './data-folder.js'
 import type { DataFolderPaths } from './data-folder.js'
-import { readFileIfPresent, replaceFile, syncFolder } from './durable-file.js'
+import { readFileIfPresent, replaceFile, syncFolder, writeFully } from './durable-file.js'
+import type { FileOperations, OpenFile } from './file-operations.js'
+import { nodeFileOperations } from './file-operations.js'
 import { encodeFrame } from './log-frame.js'
 import type { LogFileHeader, RestoreResult } from './restore-member.js'
 import { LogDamageError, restoreMember } from './restore-member.js'
@@ -25,21 +27,22 @@
 /**
  * Opens the data folder of a control member; creates its files on the first start.
  * @param dataFolder - path; created if its parent exists
+ * @param files - functions of the file system; default: those of the process
  * @returns `dataFolderUnusable` when the folder can't be read or written; `logDamaged` when its content is damaged, in which case no file was changed
  */
-export async function openControlStorage (dataFolder: string): Promise<Result<OpenedControlStorage, StorageFailure>> {
+export async function openControlStorage (dataFolder: string, files: FileOperations = nodeFileOperations): Promise<Result<OpenedControlStorage, StorageFailure>> {
   const paths = dataFolderPaths(dataFolder)
   try {
-    await createFolderIfMissing(dataFolder)
-    await access(dataFolder, constants.R_OK | constants.W_OK | constants.X_OK)
-    const { restored, validLogBytes } = await readFolder(paths) ?? await createFiles(paths)
-    const log = await open(paths.log, 'r+')
+    await createFolderIfMissing(files, dataFolder)
+    await files.access(dataFolder, constants.R_OK | constants.W_OK | constants.X_OK)
+    const { restored, validLogBytes } = await readUpToDateFolder(files, paths) ?? await createFiles(files, paths)
+    const log = await files.open(paths.log, 'r+')
     const { size } = await log.stat()
     if (size > validLogBytes) {
       await log.truncate(validLogBytes)
       await log.sync()
     }
-    return ok({ storage: createStorage(paths, restored.member, log, validLogBytes), restored, cutBytes: size - validLogBytes })
+    return ok({ storage: createStorage(files, paths, restored.member, log, validLogBytes), restored, cutBytes: size - validLogBytes })
   } catch (error) {
     const name = error instanceof LogDamageError ? 'logDamaged' : 'dataFolderUnusable'
     return err({ code: resultCodes[name].code, message: `data folder ${dataFolder}: ${toMessage(error)}` })
@@ -48,20 +51,20 @@
 
 const toMessage = (error: unknown): string => error instanceof Error ? error.message : String(error)
 
-async function createFolderIfMissing (path: string): Promise<void> {
+async function createFolderIfMissing (files: FileOperations, path: string): Promise<void> {
   try {
-    await mkdir(path, { mode: 0o700 })
-    await syncFolder(dirname(path))
+    await files.mkdir(path, { mode: 0o700 })
+    await syncFolder(files, dirname(path))
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== 'EEXIST') throw error
   }
 }
 
 /** @returns null when the folder is new */
-async function readFolder (paths: DataFolderPaths): Promise<RestoreResult | null> {
-  const member = await readFileIfPresent(paths.member)
-  const log = await readFileIfPresent(paths.log)
-  const snapshot = await readFileIfPresent(paths.snapshot)
+async function readFolder (files: FileOperations, paths: DataFolderPaths): Promise<RestoreResult | null> {
+  const member = await readFileIfPresent(files, paths.member)
+  const log = await readFileIfPresent(files, paths.log)
+  const snapshot = await readFileIfPresent(files, paths.snapshot)
   if (member === null) {
     // The first start creates the log before the member id, so a crash in between leaves a log with nothing but its header.
     if (snapshot !== null || (log !== null && !hasHeaderOnly(log))) throw new LogDamageError('the file member-id is missing')
@@ -71,29 +74,49 @@
   return restoreMember({ member: memberId(member.toString('utf8')), log, snapshot })
 }
 
+/**
+ * Reads the folder and replaces a log that continues an earlier snapshot: its entries may conflict with the snapshot or end before it, and a
+ * restart would then drop the entries appended later, or find a gap and take the log for damaged.
+ * @returns null when the folder is new
+ */
+async function readUpToDateFolder (files: FileOperations, paths: DataFolderPaths): Promise<RestoreResult | null> {
+  const result = await readFolder(files, paths)
+  if (result === null || !result.isLogOutdated) return result
+  const { member, vote, snapshot, entries } = result.restored
+  const content = encodeLog(member, snapshot?.index ?? 0, vote, entries)
+  await replaceFile(files, paths.log, content)
+  return { restored: result.restored, validLogBytes: content.length, isLogOutdated: false }
+}
+
 function hasHeaderOnly (log: Buffer): boolean {
   return log.length === encodeFrame(buildLogFileHeader(memberId(randomUUID()), 0)).length
 }
 
-async function createFiles (paths: DataFolderPaths): Promise<RestoreResult> {
+async function createFiles (files: FileOperations, paths: DataFolderPaths): Promise<RestoreResult> {
   const member = memberId(randomUUID())
   const header = encodeFrame(buildLogFileHeader(member, 0))
-  await replaceFile(paths.log, header)
-  await replaceFile(paths.member, Buffer.from(member, 'utf8'))
+  await replaceFile(files, paths.log, header)
+  await replaceFile(files, paths.member, Buffer.from(member, 'utf8'))
   const restored: RestoredMember = { member, vote: { term: 0, votedFor: null }, snapshot: null, entries: [] }
-  return { restored, validLogBytes: header.length }
+  return { restored, validLogBytes: header.length, isLogOutdated: false }
 }
 
 function buildLogFileHeader (member: MemberId, snapshotIndex: number): LogFileHeader {
   return { formatVersion: 1, member, snapshotIndex }
 }
 
+/** @returns content of a log file that continues a snapshot */
+function encodeLog (member: MemberId, snapshotIndex: number, vote: TermVote, entries: LogEntry[]): Buffer {
+  const records: DurableRecord[] = [{ kind: 'vote', vote }, { kind: 'entries', entries }]
+  return Buffer.concat([encodeFrame(buildLogFileHeader(member, snapshotIndex)), encodeFrame(records)])
+}
+
 interface PendingWrite {
   records: DurableRecord[]
   resolve: (result: Result<void, StorageFailure>) => void
 }
 
-function createStorage (paths: DataFolderPaths, member: MemberId, openedLog: FileHandle, validLogBytes: number): ControlStorage {
+function createStorage (files: FileOperations, paths: DataFolderPaths, member: MemberId, openedLog: OpenFile, validLogBytes: number): ControlStorage {
   let log = openedLog
   let logEnd = validLogBytes
   let pendingWrites: PendingWrite[] = []
@@ -129,24 +152,18 @@
   }
 
   async function appendFrame (frame: Buffer): Promise<void> {
-    let written = 0
-    while (written < frame.length) {
-      const { bytesWritten } = await log.write(frame, written, frame.length - written, logEnd + written)
-      written += bytesWritten
-    }
+    await writeFully(log, frame, logEnd)
     await log.datasync()
     logEnd += frame.length
   }
 
   async function writeSnapshot (record: DurableRecord): Promise<void> {
     if (record.kind !== 'snapshot') return
-    await replaceFile(paths.snapshot, encodeFrame(record.snapshot))
-    const header = encodeFrame(buildLogFileHeader(member, record.snapshot.index))
-    const rest: DurableRecord[] = [{ kind: 'vote', vote: record.vote }, { kind: 'entries', entries: record.entries }]
-    const content = Buffer.concat([header, encodeFrame(rest)])
-    await replaceFile(paths.log, content)
+    await replaceFile(files, paths.snapshot, encodeFrame(record.snapshot))
+    const content = encodeLog(member, record.snapshot.index, record.vote, record.entries)
+    await replaceFile(files, paths.log, content)
     await log.close()
-    log = await open(paths.log, 'r+')
+    log = await files.open(paths.log, 'r+')
     logEnd = content.length
   }
 
--- a/src/adapters/disk/durable-file.ts
+++ b/src/adapters/disk/durable-file.ts
@@ -1,12 +1,12 @@
-import { open, readFile, rename } from 'node:fs/promises'
 import { dirname } from 'node:path'
+import type { FileOperations, OpenFile } from './file-operations.js'
 
 /**
  * Syncs a folder, so that files created or renamed in it survive a crash.
  * @throws the error of the file system
  */
-export async function syncFolder (path: string): Promise<void> {
-  const folder = await open(path, 'r')
+export async function syncFolder (files: FileOperations, path: string): Promise<void> {
+  const folder = await files.open(path, 'r')
   try {
     await folder.sync()
   } finally {
@@ -14,31 +14,49 @@
   }
 }
 
+/**
+ * Writes all bytes at a position of a file.
+ * @throws the error of the file system; EIO when it writes nothing without an error
+ */
+export async function writeFully (file: OpenFile, bytes: Buffer, position: number): Promise<void> {
+  let written = 0
+  while (written < bytes.length) {
+    const { bytesWritten } = await file.write(bytes, written, bytes.length - written, position + written)
+    if (bytesWritten === 0) throw Object.assign(new Error('the file system wrote no byte'), { code: 'EIO' })
+    written += bytesWritten
+  }
+}
+
+/** @returns path of the file that `replaceFile` writes before it renames it */
+export function temporaryPath (path: string): string {
+  return `${path}.tmp`
+}
+
 /**
  * Replaces a file atomically: after a crash it has either the old or the new content.
  * @param path - file to replace; a file of the same name with the suffix .tmp is overwritten
  * @throws the error of the file system
  */
-export async function replaceFile (path: string, content: Buffer): Promise<void> {
-  const temporary = `${path}.tmp`
-  const file = await open(temporary, 'w', 0o600)
+export async function replaceFile (files: FileOperations, path: string, content: Buffer): Promise<void> {
+  const temporary = temporaryPath(path)
+  const file = await files.open(temporary, 'w', 0o600)
   try {
-    await file.writeFile(content)
+    await writeFully(file, content, 0)
     await file.sync()
   } finally {
     await file.close()
   }
-  await rename(temporary, path)
-  await syncFolder(dirname(path))
+  await files.rename(temporary, path)
+  await syncFolder(files, dirname(path))
 }
 
 /**
  * @returns the content, or null when there is no such file
  * @throws any other error of the file system
  */
-export async function readFileIfPresent (path: string): Promise<Buffer | null> {
+export async function readFileIfPresent (files: FileOperations, path: string): Promise<Buffer | null> {
   try {
-    return await readFile(path)
+    return await files.readFile(path)
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code === 'ENOENT') return null
     throw error
--- a/src/adapters/disk/restore-member.ts
+++ b/src/adapters/disk/restore-member.ts
@@ -22,6 +22,8 @@
   restored: RestoredMember
   /** Length of the valid part of the log in bytes; the rest of a longer file is a torn record. */
   validLogBytes: number
+  /** Whether the log continues an earlier snapshot than the folder holds. Such a log must be replaced before a record is appended to it. */
+  isLogOutdated: boolean
 }
 
 /** Thrown for a data folder that something other than a crash of the process has changed. */
@@ -44,7 +46,8 @@
   const { vote, entries } = replay(batches.flat(), header.snapshotIndex)
   return {
     restored: { member: contents.member, vote, snapshot, entries: dropCoveredEntries(snapshot, entries) },
-    validLogBytes: log.validBytes
+    validLogBytes: log.validBytes,
+    isLogOutdated: (snapshot?.index ?? 0) > header.snapshotIndex
   }
 }
 
