Control storage: sync the log and its folder when they are opened

A control process was killed after it had written a record and before it had synced it. Restarted, it read the record from the page cache, took it for durable, and acknowledged the vote or the entries to others. A loss of power then took the record away: a member that had acknowledged entries came back without them. The same held for a replaced log whose folder was not synced yet: everything that the restarted member appended and synced went to a file whose name was lost with the power.

Two new tests with a simulated file system fail on the former code (the restored state is empty after the loss of power). Opening the folder now syncs the log and the folder before the member uses what it has read; this needs no room on the disk.

--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -38,10 +38,10 @@
     const { restored, validLogBytes } = await readUpToDateFolder(files, paths) ?? await createFiles(files, paths)
     const log = await files.open(paths.log, 'r+')
     const { size } = await log.stat()
-    if (size > validLogBytes) {
-      await log.truncate(validLogBytes)
-      await log.sync()
-    }
+    if (size > validLogBytes) await log.truncate(validLogBytes)
+    // The process before may have been killed between a write and its sync. The member acknowledges what it has read, so that must be durable.
+    await log.sync()
+    await syncFolder(files, dataFolder)
     return ok({ storage: createStorage(files, paths, restored.member, log, validLogBytes), restored, cutBytes: size - validLogBytes })
   } catch (error) {
     const name = error instanceof LogDamageError ? 'logDamaged' : 'dataFolderUnusable'
--- a/test/adapters/disk/control-storage-faults.test.ts
+++ b/test/adapters/disk/control-storage-faults.test.ts
@@ -42,3 +42,33 @@
     t.same((await openFolder(disk)).restored.entries, [buildEntry(6, 3)])
   })
 }
+
+t.test('what a restarted process reads survives a loss of power, though the process before was killed during the sync', async (t) => {
+  const disk = createSimulatedFileSystem()
+  const first = await openFolder(disk)
+  disk.setFaults((operation) => operation === 'datasync' ? 'hang' : 'proceed')
+  first.storage.persist([{ kind: 'vote', vote }, { kind: 'entries', entries: [buildEntry(1, 1)] }])
+  await new Promise((resolve) => setImmediate(resolve))
+
+  disk.setFaults(() => 'proceed')
+  const second = await openFolder(disk)
+  t.same(second.restored.vote, vote, 'the restarted member tells others of this vote without writing it again')
+  disk.losePower()
+  t.same((await openFolder(disk)).restored, second.restored)
+})
+
+t.test('a replaced log that a restarted process reads survives a loss of power, though the process before was killed before it synced the folder', async (t) => {
+  const disk = createSimulatedFileSystem()
+  const first = await openFolder(disk)
+  await first.storage.persist([{ kind: 'entries', entries: [1, 2].map((index) => buildEntry(index, 1)) }])
+  let folderSyncs = 0
+  disk.setFaults((operation, path) => operation === 'sync' && path === FOLDER && ++folderSyncs === 2 ? 'hang' : 'proceed')
+  first.storage.persist([{ kind: 'snapshot', snapshot: buildSnapshot(2, 1), vote, entries: [] }])
+  await new Promise((resolve) => setImmediate(resolve))
+
+  disk.setFaults(() => 'proceed')
+  const second = await openFolder(disk)
+  t.ok((await second.storage.persist([{ kind: 'entries', entries: [buildEntry(3, 3)] }])).isOk())
+  disk.losePower()
+  t.same((await openFolder(disk)).restored.entries, [buildEntry(3, 3)])
+})
