Control members stay alive on a full disk and join again when it has room

Had the process stayed alive, the member would have been lost for good: the storage kept its first failure, and the runner stopped the member. Once the disks of a majority have been full, one after another, no change could be accepted any more.

This is safe since every message that a member's durable state must back is sent only after its sync: the member that comes back is one that was restarted at its last sync. A record whose sync failed is cut off and written anew, since a second sync may succeed without writing it. Opening the folder is retried in the same way, with the files written again. A damaged or missing folder still ends the process.

--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -3,20 +3,23 @@
 import { dirname } from 'node:path'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
-import type { LogEntry, TermVote } from '../../types/consensus-entry.js'
+import type { LogEntry, LogSnapshot, TermVote } from '../../types/consensus-entry.js'
 import type { ControlStorage, DurableRecord, RestoredMember, StorageFailure } from '../../types/control-storage.js'
 import type { MemberId } from '../../types/ids.js'
 import { memberId } from '../../types/ids.js'
 import { resultCodes } from '../../types/result-code.js'
 import { dataFolderPaths } from './data-folder.js'
 import type { DataFolderPaths } from './data-folder.js'
-import { readFileIfPresent, replaceFile, syncFolder, writeFully } from './durable-file.js'
+import { readFileIfPresent, replaceFile, syncFolder, temporaryPath, writeFully, writeTemporary } from './durable-file.js'
 import type { FileOperations, OpenFile } from './file-operations.js'
 import { nodeFileOperations } from './file-operations.js'
 import { encodeFrame } from './log-frame.js'
 import type { LogFileHeader, RestoreResult } from './restore-member.js'
 import { LogDamageError, restoreMember } from './restore-member.js'
 
+/** Errors of the file system after which a later write may succeed: no room, a failed or read-only device, and a lack of descriptors or memory. */
+const temporaryErrors: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT', 'EIO', 'EROFS', 'EMFILE', 'ENFILE', 'ENOMEM', 'EAGAIN'])
+
 export interface OpenedControlStorage {
   storage: ControlStorage
   restored: RestoredMember
@@ -28,33 +31,56 @@
  * Opens the data folder of a control member; creates its files on the first start.
  * @param dataFolder - path; created if its parent exists
  * @param files - functions of the file system; default: those of the process
+ * @param isRetry - whether this process has failed to open the folder before. A sync that failed then may succeed now without having written
+ * anything, so the files are written again.
  * @returns `dataFolderUnusable` when the folder can't be read or written; `logDamaged` when its content is damaged, in which case no file was changed
  */
-export async function openControlStorage (dataFolder: string, files: FileOperations = nodeFileOperations): Promise<Result<OpenedControlStorage, StorageFailure>> {
+export async function openControlStorage (dataFolder: string, files: FileOperations = nodeFileOperations, isRetry = false): Promise<Result<OpenedControlStorage, StorageFailure>> {
   const paths = dataFolderPaths(dataFolder)
   try {
     await createFolderIfMissing(files, dataFolder)
     await files.access(dataFolder, constants.R_OK | constants.W_OK | constants.X_OK)
-    const { restored, validLogBytes } = await readUpToDateFolder(files, paths) ?? await createFiles(files, paths)
-    const log = await files.open(paths.log, 'r+')
+    const found = await readFolder(files, paths)
+    await removeTemporaryFiles(files, paths)
+    const { restored, validLogBytes } = found === null ? await createFiles(files, paths) : await prepareFiles(files, paths, found, isRetry)
+    const { log, cutBytes } = await openLog(files, paths.log, validLogBytes)
+    return ok({ storage: createStorage(files, paths, restored.member, log, validLogBytes), restored, cutBytes })
+  } catch (error) {
+    return err(toFailure(error, `data folder ${dataFolder}`))
+  }
+}
+
+/** Opens the log, cuts off what follows its valid part, and syncs it and its folder. */
+async function openLog (files: FileOperations, path: string, validLogBytes: number): Promise<{ log: OpenFile, cutBytes: number }> {
+  const log = await files.open(path, 'r+')
+  try {
     const { size } = await log.stat()
     if (size > validLogBytes) await log.truncate(validLogBytes)
     // The process before may have been killed between a write and its sync. The member acknowledges what it has read, so that must be durable.
     await log.sync()
-    await syncFolder(files, dataFolder)
-    return ok({ storage: createStorage(files, paths, restored.member, log, validLogBytes), restored, cutBytes: size - validLogBytes })
+    await syncFolder(files, dirname(path))
+    return { log, cutBytes: size - validLogBytes }
   } catch (error) {
-    const name = error instanceof LogDamageError ? 'logDamaged' : 'dataFolderUnusable'
-    return err({ code: resultCodes[name].code, message: `data folder ${dataFolder}: ${toMessage(error)}` })
+    await log.close()
+    throw error
   }
 }
 
-const toMessage = (error: unknown): string => error instanceof Error ? error.message : String(error)
+function toFailure (error: unknown, context: string): StorageFailure {
+  const name = error instanceof LogDamageError ? 'logDamaged' : 'dataFolderUnusable'
+  const message = error instanceof Error ? error.message : String(error)
+  const isTemporary = temporaryErrors.has((error as NodeJS.ErrnoException).code ?? '')
+  return { code: resultCodes[name].code, message: `${context}: ${message}`, isTemporary }
+}
+
+/** Temporary files of a process that was killed, or whose writes failed, may take the room that the next write needs. */
+async function removeTemporaryFiles (files: FileOperations, paths: DataFolderPaths): Promise<void> {
+  for (const path of Object.values(paths)) await files.remove(temporaryPath(path))
+}
 
 async function createFolderIfMissing (files: FileOperations, path: string): Promise<void> {
   try {
     await files.mkdir(path, { mode: 0o700 })
-    await syncFolder(files, dirname(path))
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== 'EEXIST') throw error
   }
@@ -75,17 +101,18 @@
 }
 
 /**
- * Reads the folder and replaces a log that continues an earlier snapshot: its entries may conflict with the snapshot or end before it, and a
- * restart would then drop the entries appended later, or find a gap and take the log for damaged.
- * @returns null when the folder is new
+ * Replaces a log that continues an earlier snapshot: its entries may conflict with the snapshot or end before it, and a restart would then drop the
+ * entries appended later, or find a gap and take the log for damaged.
+ * @param isRewriteNeeded - whether to write all files again
  */
-async function readUpToDateFolder (files: FileOperations, paths: DataFolderPaths): Promise<RestoreResult | null> {
-  const result = await readFolder(files, paths)
-  if (result === null || !result.isLogOutdated) return result
-  const { member, vote, snapshot, entries } = result.restored
+async function prepareFiles (files: FileOperations, paths: DataFolderPaths, found: RestoreResult, isRewriteNeeded: boolean): Promise<RestoreResult> {
+  if (!found.isLogOutdated && !isRewriteNeeded) return found
+  const { member, vote, snapshot, entries } = found.restored
+  if (isRewriteNeeded) await replaceFile(files, paths.member, Buffer.from(member, 'utf8'))
+  if (isRewriteNeeded && snapshot !== null) await replaceFile(files, paths.snapshot, encodeFrame(snapshot))
   const content = encodeLog(member, snapshot?.index ?? 0, vote, entries)
   await replaceFile(files, paths.log, content)
-  return { restored: result.restored, validLogBytes: content.length, isLogOutdated: false }
+  return { restored: found.restored, validLogBytes: content.length, isLogOutdated: false }
 }
 
 function hasHeaderOnly (log: Buffer): boolean {
@@ -93,6 +120,7 @@
 }
 
 async function createFiles (files: FileOperations, paths: DataFolderPaths): Promise<RestoreResult> {
+  await syncFolder(files, dirname(dirname(paths.log)))
   const member = memberId(randomUUID())
   const header = encodeFrame(buildLogFileHeader(member, 0))
   await replaceFile(files, paths.log, header)
@@ -118,10 +146,13 @@
 
 function createStorage (files: FileOperations, paths: DataFolderPaths, member: MemberId, openedLog: OpenFile, validLogBytes: number): ControlStorage {
   let log = openedLog
+  /** Length of the synced part of the log, in bytes. */
   let logEnd = validLogBytes
   let pendingWrites: PendingWrite[] = []
-  let activeWrite: Promise<void> | null = null
+  let activeWork: Promise<unknown> | null = null
   let failure: StorageFailure | null = null
+  /** Whether a file was renamed and the folder not synced since. A sync that follows a failed one may succeed without having written anything. */
+  let isFolderUnsynced = false
 
   async function writePending (): Promise<void> {
     // Calls of `persist` from the same turn of the event loop join the first batch and share its sync.
@@ -132,7 +163,7 @@
       const result = await writeBatch(batch.flatMap((write) => write.records))
       for (const write of batch) write.resolve(result)
     }
-    activeWrite = null
+    activeWork = null
   }
 
   async function writeBatch (records: DurableRecord[]): Promise<Result<void, StorageFailure>> {
@@ -145,8 +176,8 @@
       if (laterRecords.length > 0) await appendFrame(encodeFrame(laterRecords))
       return ok(undefined)
     } catch (error) {
-      // After a failed sync the content of the file is unknown, so all later writes fail too.
-      failure = { code: resultCodes.dataFolderUnusable.code, message: `writing ${paths.log}: ${toMessage(error)}` }
+      // The end of the file is unknown now, and after a failed sync also what the disk holds of it.
+      failure = toFailure(error, `writing ${paths.log}`)
       return err(failure)
     }
   }
@@ -157,23 +188,67 @@
     logEnd += frame.length
   }
 
+  /** @param onRenamed - receives the open new file before the folder is synced */
+  async function replaceInFolder (path: string, content: Buffer, onRenamed: (file: OpenFile) => Promise<void>): Promise<void> {
+    const file = await writeTemporary(files, path, content)
+    isFolderUnsynced = true
+    try {
+      await files.rename(temporaryPath(path), path)
+    } catch (error) {
+      await file.close()
+      throw error
+    }
+    await onRenamed(file)
+    await syncFolder(files, dirname(path))
+  }
+
+  async function replaceSnapshotAndLog (snapshot: LogSnapshot | null, vote: TermVote, entries: LogEntry[]): Promise<void> {
+    if (snapshot !== null) await replaceInFolder(paths.snapshot, encodeFrame(snapshot), (file) => file.close())
+    const content = encodeLog(member, snapshot?.index ?? 0, vote, entries)
+    await replaceInFolder(paths.log, content, async (file) => {
+      const replaced = log
+      log = file
+      logEnd = content.length
+      await replaced.close()
+    })
+    isFolderUnsynced = false
+  }
+
   async function writeSnapshot (record: DurableRecord): Promise<void> {
-    if (record.kind !== 'snapshot') return
-    await replaceFile(files, paths.snapshot, encodeFrame(record.snapshot))
-    const content = encodeLog(member, record.snapshot.index, record.vote, record.entries)
-    await replaceFile(files, paths.log, content)
-    await log.close()
-    log = await files.open(paths.log, 'r+')
-    logEnd = content.length
+    if (record.kind === 'snapshot') await replaceSnapshotAndLog(record.snapshot, record.vote, record.entries)
+  }
+
+  async function recover (): Promise<Result<RestoredMember, StorageFailure>> {
+    try {
+      await removeTemporaryFiles(files, paths)
+      await log.truncate(logEnd)
+      const result = await readFolder(files, paths)
+      if (result === null) throw new LogDamageError('the files are missing')
+      const { restored, isLogOutdated } = result
+      if (isLogOutdated || isFolderUnsynced) await replaceSnapshotAndLog(restored.snapshot, restored.vote, restored.entries)
+      // Repeats the vote that the folder holds. A full disk fails here, and the member doesn't join before it has room.
+      await appendFrame(encodeFrame([{ kind: 'vote', vote: restored.vote }]))
+      failure = null
+      return ok(restored)
+    } catch (error) {
+      failure = toFailure(error, `restoring ${paths.log}`)
+      return err(failure)
+    }
   }
 
   return {
     persist: (records) => new Promise((resolve) => {
       pendingWrites.push({ records, resolve })
-      activeWrite ??= writePending()
+      activeWork ??= writePending()
     }),
+    recover: async () => {
+      await activeWork
+      const recovery = recover()
+      activeWork = recovery.then(() => { activeWork = null })
+      return await recovery
+    },
     close: async () => {
-      await activeWrite
+      await activeWork
       await log.close()
     }
   }
--- a/src/adapters/disk/durable-file.ts
+++ b/src/adapters/disk/durable-file.ts
@@ -27,26 +27,37 @@
   }
 }
 
-/** @returns path of the file that `replaceFile` writes before it renames it */
+/** @returns path of the file that holds new content of a file before it is renamed */
 export function temporaryPath (path: string): string {
   return `${path}.tmp`
 }
 
 /**
- * Replaces a file atomically: after a crash it has either the old or the new content.
- * @param path - file to replace; a file of the same name with the suffix .tmp is overwritten
+ * Writes and syncs new content of a file under its temporary path; an old file there is overwritten.
+ * @returns the temporary file, still open
  * @throws the error of the file system
  */
-export async function replaceFile (files: FileOperations, path: string, content: Buffer): Promise<void> {
-  const temporary = temporaryPath(path)
-  const file = await files.open(temporary, 'w', 0o600)
+export async function writeTemporary (files: FileOperations, path: string, content: Buffer): Promise<OpenFile> {
+  const file = await files.open(temporaryPath(path), 'w', 0o600)
   try {
     await writeFully(file, content, 0)
     await file.sync()
-  } finally {
+    return file
+  } catch (error) {
     await file.close()
+    throw error
   }
-  await files.rename(temporary, path)
+}
+
+/**
+ * Replaces a file atomically: after a crash it has either the old or the new content.
+ * @param path - file to replace
+ * @throws the error of the file system
+ */
+export async function replaceFile (files: FileOperations, path: string, content: Buffer): Promise<void> {
+  const file = await writeTemporary(files, path, content)
+  await file.close()
+  await files.rename(temporaryPath(path), path)
   await syncFolder(files, dirname(path))
 }
 
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -42,7 +42,7 @@
   random: Random
   logEvent: LogEvent
   timeOfDay: () => Date
-  /** Called once when the data folder can't be written any more; the member has stopped by then. */
+  /** Called once when the data folder can't be used any more, as it is damaged or gone; the member has stopped by then. */
   onFailure: (failure: StorageFailure) => void
   /** Options of the coordinator besides the log and the connections. */
   coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailoverController' | 'holders' | 'selectRateHolders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxConfirmationAgeMs'>>
--- a/src/control/control-instance.ts
+++ b/src/control/control-instance.ts
@@ -22,7 +22,7 @@
   logEvent: LogEvent
   /** @returns the time of day; default: the clock of the operating system */
   timeOfDay?: () => Date
-  /** Called once when the data folder can't be written any more; the instance no longer takes part in the log. Default: nothing. */
+  /** Called once when the data folder can't be used any more, as it is damaged or gone; the instance no longer takes part in the log. Default: nothing. */
   onFailure?: (failure: StorageFailure) => void
 }
 
--- a/src/control/control-log-options.ts
+++ b/src/control/control-log-options.ts
@@ -1,3 +1,5 @@
+import type { FileOperations } from '../adapters/disk/file-operations.js'
+import { nodeFileOperations } from '../adapters/disk/file-operations.js'
 import { repeatByTimer } from '../adapters/timers/repeat-by-timer.js'
 import type { ConsensusOptions } from '../decisions/consensus/consensus-options.js'
 import type { Clock } from '../types/clock.js'
@@ -28,7 +30,9 @@
   snapshotThreshold?: number
   /** Calls the tick of the consensus controller at an interval. Default: a timer of the process. */
   repeat?: Repeat
-  /** Called once when the data folder can't be written any more; the member has stopped by then. Default: nothing. */
+  /** Functions of the file system. Default: those of the process. */
+  files?: FileOperations
+  /** Called once when the data folder can't be used any more, as it is damaged or gone; the member has stopped by then. Default: nothing. */
   onFailure?: (failure: StorageFailure) => void
 }
 
@@ -36,5 +40,5 @@
 
 /** @returns the options with all defaults filled in */
 export function resolveControlLogOptions (options: ControlLogOptions): ResolvedControlLogOptions {
-  return { snapshotThreshold: 512, repeat: repeatByTimer, onFailure: () => {}, consensus: {}, ...options }
+  return { snapshotThreshold: 512, repeat: repeatByTimer, onFailure: () => {}, consensus: {}, files: nodeFileOperations, ...options }
 }
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -17,7 +17,7 @@
       clock: monotonicClock,
       random: Math.random,
       logEvent: createLogger({ instance: settings.instance, level: settings.log.level }),
-      // A member that can't write its data folder answers no requests any more. A supervisor restarts the process when it exits.
+      // A member whose data folder is damaged or gone answers no requests any more. A supervisor restarts the process when it exits.
       onFailure: () => { process.exit(FAILURE_EXIT_CODE) }
     })
     return { drain: instance.stop, reloadTls: instance.reloadTls }
--- a/src/types/control-storage.ts
+++ b/src/types/control-storage.ts
@@ -24,15 +24,22 @@
 export interface StorageFailure {
   code: ResultCode
   message: string
+  /** Whether the folder may take writes again without anybody's help, such as a full disk once it has room. */
+  isTemporary: boolean
 }
 
 /** Durable state of a running member. */
 export interface ControlStorage {
   /**
    * Writes records in the order of the calls and resolves after it has synced them. Calls made during a sync share the next one.
-   * After a failure the storage writes nothing more, and every later call fails.
+   * After a failure the storage writes nothing more, and every later call fails until `recover` succeeds.
    */
   persist: (records: DurableRecord[]) => Promise<Result<void, StorageFailure>>
+  /**
+   * Removes what failed writes have left, tests that the folder takes writes, and reads it again. Call it after a failure, and again while it fails.
+   * @returns what the folder holds: everything for which `persist` succeeded, and of later records none or only a snapshot
+   */
+  recover: () => Promise<Result<RestoredMember, StorageFailure>>
   /** Waits for pending writes and closes the files. */
   close: () => Promise<void>
 }
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -26,6 +26,8 @@
   logTailCut: { event: 205, name: 'log-tail-cut', level: 'warn', meaning: 'An incomplete record at the end of the log was cut off.' },
   snapshotWritten: { event: 206, name: 'snapshot-written', level: 'info', meaning: 'The log was replaced by a snapshot.' },
   clusterFormed: { event: 207, name: 'cluster-formed', level: 'info', meaning: 'The first start formed the control cluster.' },
+  storageUnavailable: { event: 208, name: 'storage-unavailable', level: 'error', meaning: 'The data folder takes no writes, as when its disk is full. The member takes no part in the control log and tries again at intervals; a start waits.' },
+  storageRecovered: { event: 209, name: 'storage-recovered', level: 'info', meaning: 'The data folder takes writes again; the member continues from what the folder holds.' },
 
   instanceJoined: { event: 301, name: 'instance-joined', level: 'info', meaning: 'The leader received the first heartbeat of an incarnation.' },
   instanceLost: { event: 302, name: 'instance-lost', level: 'warn', meaning: 'An instance sent no heartbeat for one lease.' },
--- a/src/types/result-code.ts
+++ b/src/types/result-code.ts
@@ -63,7 +63,7 @@
   internalError: { code: 4010, name: 'internal-error', status: 500, meaning: 'The instance failed while it handled the request.', remedy: 'See the log event with the same request id.' },
 
   settingsInvalid: { code: 5001, name: 'settings-invalid', status: 0, meaning: 'The settings file does not pass its checks.', remedy: 'The message names the field and what was expected.' },
-  dataFolderUnusable: { code: 5002, name: 'data-folder-unusable', status: 0, meaning: 'The data folder can not be read or written.', remedy: 'Check that it exists and its owner and permissions.' },
+  dataFolderUnusable: { code: 5002, name: 'data-folder-unusable', status: 0, meaning: 'The data folder can not be read or written.', remedy: 'Check that it exists, its owner and permissions, and that its disk has room.' },
   logDamaged: { code: 5003, name: 'log-damaged', status: 0, meaning: 'A record before the end of the log is damaged; nothing was changed.', remedy: 'Replace the data folder by an empty one; the member rejoins as a learner.' },
   listenFailed: { code: 5004, name: 'listen-failed', status: 0, meaning: 'A listening address can not be used.', remedy: 'Check the address and that the port is free.' }
 } as const satisfies Record<string, ResultCodeEntry>
