Control storage: test for room with an empty record before reading the folder

While its disk is full, a member tries every 500 ms to use its folder again. The test write is now an empty record, which needs nothing from the files, and comes first.

--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -222,12 +222,13 @@
     try {
       await removeTemporaryFiles(files, paths)
       await log.truncate(logEnd)
+      // Writes a record without content, since the member must not join while the disk is full. Files are read only after that succeeded.
+      if (!isFolderUnsynced) await appendFrame(encodeFrame([]))
       const result = await readFolder(files, paths)
       if (result === null) throw new LogDamageError('the files are missing')
-      const { restored, isLogOutdated } = result
-      if (isLogOutdated || isFolderUnsynced) await replaceSnapshotAndLog(restored.snapshot, restored.vote, restored.entries)
-      // Repeats the vote that the folder holds. A full disk fails here, and the member doesn't join before it has room.
-      await appendFrame(encodeFrame([{ kind: 'vote', vote: restored.vote }]))
+      const { restored } = result
+      // The log also continues an earlier snapshot if only the snapshot was renamed.
+      if (isFolderUnsynced) await replaceSnapshotAndLog(restored.snapshot, restored.vote, restored.entries)
       failure = null
       return ok(restored)
     } catch (error) {
