A leader whose disk is full resigns, and its successor is elected at once

The leader now sends a resignation to all members before it drops its state. It names the voter that holds the most entries. That member starts an election at once; the others forget the leader, so that they grant pre-votes, and wait one election timeout themselves. Messages of the resigned leader that arrive later are dropped, as they would make it count as active again. Safety does not depend on the message: votes, terms and entries are handled as before, and a member of an earlier version drops it as unknown.

--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -73,6 +73,7 @@
   }).refine((append) => append.entries.every((item, position) => item.index === append.previousIndex + 1 + position)),
   z.object({ ...header, kind: z.literal('append-answer'), round: count, accepted: z.boolean(), matchIndex: count, nextIndex: count }),
   z.object({ ...header, kind: z.literal('snapshot'), entryAddress: name, round: count, snapshot }),
+  z.object({ ...header, kind: z.literal('resignation'), successor: name }),
   z.object({ ...probe, kind: z.literal('probe'), forwarded: z.boolean().optional() }),
   z.object({ ...probe, kind: z.literal('probe-answer'), to: name })
 ])
--- a/src/control/control-log-runner.ts
+++ b/src/control/control-log-runner.ts
@@ -143,6 +143,7 @@
   /** Gives up the state in memory, which is ahead of the disk, until the data folder takes writes again. */
   function suspend (failure: StorageFailure): void {
     if (isStopped) return
+    handle({ kind: 'storage-failed' })
     readState()
     lastView = view()
     controller = null
@@ -193,6 +194,7 @@
 
   function fail (failure: StorageFailure): void {
     if (isStopped) return
+    handle({ kind: 'storage-failed' })
     stopMember()
     options.logEvent('failed', { code: failure.code, message: failure.message })
     options.onFailure(failure)
--- a/src/decisions/consensus/consensus-controller.ts
+++ b/src/decisions/consensus/consensus-controller.ts
@@ -106,6 +106,8 @@
       case 'append': return follower.handleAppend(message)
       case 'snapshot': return follower.handleSnapshot(message)
       case 'append-answer': return leader?.handleAppendAnswer(message)
+      case 'resignation':
+        if (follower.handleResignation(message)) election.startPreVote()
     }
   }
 
@@ -118,6 +120,10 @@
       case 'persisted':
         effects.markSynced(input.sequence)
         break
+      case 'storage-failed':
+        leader?.resign()
+        stepDown()
+        break
       case 'propose':
         if (leader !== null) leader.propose(input.proposal, input.command)
         else effects.emit({ kind: 'proposal-result', proposal: input.proposal, result: err({ kind: 'not-leader', leaderAddress }) })
--- a/src/decisions/consensus/consensus-effect.ts
+++ b/src/decisions/consensus/consensus-effect.ts
@@ -11,6 +11,8 @@
   | { kind: 'received', message: ConsensusMessage }
   /** The adapter has synced everything up to the persist effect with this sequence number. */
   | { kind: 'persisted', sequence: number }
+  /** The adapter can't persist any more. A leader resigns; the caller then drops the controller. */
+  | { kind: 'storage-failed' }
   | { kind: 'propose', proposal: number, command: Command }
   | { kind: 'confirm', confirmation: number }
 
--- a/src/decisions/consensus/follower.ts
+++ b/src/decisions/consensus/follower.ts
@@ -1,4 +1,4 @@
-import type { Append, AppendAnswer, SnapshotTransfer } from '../../types/consensus-message.js'
+import type { Append, AppendAnswer, Resignation, SnapshotTransfer } from '../../types/consensus-message.js'
 import type { LogEntry } from '../../types/consensus-entry.js'
 import { advanceCommit, installSnapshot } from './committed-entries.js'
 import type { EffectQueue, MemberCore } from './member-core.js'
@@ -13,10 +13,18 @@
   handleAppend: (message: Append) => void
   /** Replaces the log and the state, unless this member has already committed as much, and answers after the sync. */
   handleSnapshot: (message: SnapshotTransfer) => void
+  /**
+   * Forgets the leader if it is the one that resigned, so that this member grants pre-votes from now on.
+   * @returns whether this member should start an election at once
+   */
+  handleResignation: (message: Resignation) => boolean
 }
 
 /** @returns the follower part of a member; the caller must already have adopted the term of each message */
 export function createFollower (core: MemberCore, effects: EffectQueue): Follower {
+  /** Newest term whose leader has resigned. A message of that leader that arrives later must not make it count as active again. */
+  let resignedTerm: number | null = null
+
   function sendAnswer (message: Append | SnapshotTransfer, result: Pick<AppendAnswer, 'accepted' | 'matchIndex' | 'nextIndex'>): void {
     const reply: AppendAnswer = { ...buildAnswerHeader(core, message), kind: 'append-answer', round: message.round, ...result }
     effects.afterSync(() => effects.send(message.fromAddress, reply))
@@ -58,6 +66,7 @@
   }
 
   function handleAppend (message: Append): void {
+    if (message.term === resignedTerm) return
     if (message.term < core.term) {
       sendRefused(message, 0)
       return
@@ -76,6 +85,7 @@
   }
 
   function handleSnapshot (message: SnapshotTransfer): void {
+    if (message.term === resignedTerm) return
     if (message.term < core.term) {
       sendRefused(message, 0)
       return
@@ -91,5 +101,15 @@
     sendAccepted(message, snapshot.index)
   }
 
-  return { handleAppend, handleSnapshot }
+  function handleResignation (message: Resignation): boolean {
+    if (message.term !== core.term || core.leader?.member !== message.from) return false
+    resignedTerm = message.term
+    core.leader = null
+    core.lastLeaderMessageAt = null
+    postponeElection(core)
+    effects.emit({ kind: 'changed' })
+    return message.successor === core.self
+  }
+
+  return { handleAppend, handleSnapshot, handleResignation }
 }
--- a/src/decisions/consensus/leader.ts
+++ b/src/decisions/consensus/leader.ts
@@ -35,6 +35,8 @@
    * Null until a majority has answered a round and the first entry of the term is committed.
    */
   provenMsAgo: () => number | null
+  /** Asks the voter that holds the most entries to start an election. The caller ends the leadership. */
+  resign: () => void
   /** Ends the leadership: pending proposals end as `unknown`, pending confirmations as `not-leader`. */
   end: (leaderAddress: Address | null) => void
 }
@@ -241,6 +243,14 @@
     changeMembership()
   }
 
+  function resign (): void {
+    const voters = peers().filter(({ role }) => role === 'voter').map((peer) => ({ peer, ...progress.findOrCreate(peer.member) }))
+    voters.sort((left, right) => right.matchIndex - left.matchIndex || right.lastAnswerAt - left.lastAnswerAt)
+    const successor = voters[0]?.peer.member
+    if (successor === undefined) return
+    for (const peer of peers()) effects.send(peer.address, { ...buildRequestHeader(core, peer.member), kind: 'resignation', successor })
+  }
+
   function end (leaderAddress: Address | null): void {
     hasEnded = true
     for (const proposal of proposals.values()) effects.emit({ kind: 'proposal-result', proposal, result: err({ kind: 'unknown' }) })
@@ -265,6 +275,7 @@
     },
     handleAppendAnswer,
     handleProbe,
+    resign,
     provenMsAgo: () => isEstablished() && confirmedAt !== null ? Math.max(0, options.confirmationClock.now() - confirmedAt) : null,
     end
   }
--- a/src/types/consensus-message.ts
+++ b/src/types/consensus-message.ts
@@ -79,6 +79,13 @@
   snapshot: LogSnapshot
 }
 
+/** Sent by a leader that can't lead any more, so that another member is elected without waiting for an election timeout. It binds nobody. */
+export interface Resignation extends MemberMessageHeader {
+  kind: 'resignation'
+  /** Member that should start an election at once; the others wait for it. */
+  successor: MemberId
+}
+
 /** Sent to all configured addresses by a member that receives no message of a leader. The leader handles it as a request to join. */
 export interface Probe {
   version: 1
@@ -106,7 +113,7 @@
 }
 
 /** Messages between members of one cluster, including a member that is about to join it. */
-export type ClusterMessage = PreVote | PreVoteAnswer | Vote | VoteAnswer | Append | AppendAnswer | SnapshotTransfer
+export type ClusterMessage = PreVote | PreVoteAnswer | Vote | VoteAnswer | Append | AppendAnswer | SnapshotTransfer | Resignation
 export type ConsensusMessage = ClusterMessage | Probe | ProbeAnswer
 
 /** Carries messages between control members. The transport may lose, repeat and reorder them. */
--- a/test/decisions/consensus/consensus-property.test.ts
+++ b/test/decisions/consensus/consensus-property.test.ts
@@ -1,5 +1,5 @@
 // Guards against two leaders in one term, lost committed entries, and manifests that are accepted and then lost or replaced.
-// Such faults need a rare order of events. So random schedules of crashes, lost writes, partitions, message loss, delays, duplicates and
+// Such faults need a rare order of events. So random schedules of crashes, lost writes, failing disks, partitions, message loss, delays, duplicates and
 // replaced folders run against simulated members, and the fixture checks every member after every event.
 import fc from 'fast-check'
 import t from 'tap'
@@ -18,6 +18,7 @@
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('commit' as const), position, content: fc.constantFrom('a', 'b', 'c'), pauseMs: fc.constantFrom(0, 30, 100) }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('confirm' as const), position }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('crash' as const), position, keptShare: fc.constantFrom(0, 0.5, 0.99) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('fail-disk' as const), position, keptShare: fc.constantFrom(0, 0.5) }) },
   { weight: 5, arbitrary: fc.record({ kind: fc.constant('restart' as const), position }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('isolate' as const), position }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('cut' as const), position, other: position }) },
@@ -49,6 +50,7 @@
       return
     }
     case 'crash': return cluster.crash(memberAt(step.position), step.keptShare)
+    case 'fail-disk': return cluster.failDisk(memberAt(step.position), step.keptShare)
     case 'isolate': return cluster.isolate(memberAt(step.position))
     case 'restart': return cluster.start(memberAt(step.position))
     case 'cut': return cluster.cut(memberAt(step.position), memberAt(step.other))
