Control storage: refuse records that arrive while it recovers

A record given to the storage during its recovery got no answer until the next record, and was then written after it, although it is based on what the storage could not write. The runner gives none at that time, so no caller met this; a later change of the runner could.

The new test fails on the former code (no answer, and the vote of the early record in the log). While the storage has failed, each call now fails at once.

--- a/src/adapters/disk/control-storage.ts
+++ b/src/adapters/disk/control-storage.ts
@@ -238,10 +238,14 @@
   }
 
   return {
-    persist: (records) => new Promise((resolve) => {
-      pendingWrites.push({ records, resolve })
-      activeWork ??= writePending()
-    }),
+    persist: async (records) => {
+      // A record of this time is based on what the storage could not write. Queued, it would be written once the storage has recovered.
+      if (failure !== null) return err(failure)
+      return await new Promise((resolve) => {
+        pendingWrites.push({ records, resolve })
+        activeWork ??= writePending()
+      })
+    },
     recover: async () => {
       await activeWork
       const recovery = recover()
--- a/test/adapters/disk/control-storage-faults.test.ts
+++ b/test/adapters/disk/control-storage-faults.test.ts
@@ -191,6 +191,23 @@
   }
 })
 
+t.test('a record that is given to the storage while it recovers fails at once and is never written', async (t) => {
+  const disk = createSimulatedFileSystem()
+  const { storage } = await openFolder(disk)
+  disk.setFaults((operation) => operation === 'datasync' ? { code: 'EIO' } : 'proceed')
+  t.ok((await storage.persist(writes[0] as DurableRecord[])).isErr())
+  let early: boolean | null = null
+  disk.setFaults((operation) => {
+    if (operation === 'truncate') storage.persist([{ kind: 'vote', vote }]).then((result) => { early = result.isOk() })
+    return 'proceed'
+  })
+  t.ok((await storage.recover()).isOk())
+  t.equal(early, false)
+  t.ok((await storage.persist([{ kind: 'entries', entries: [buildEntry(1, 1)] }])).isOk())
+  await storage.close()
+  t.match((await openFolder(disk)).restored, { vote: { term: 0 }, entries: [buildEntry(1, 1)] })
+})
+
 t.test('a start on a full disk removes temporary files that an earlier process left', async (t) => {
   const disk = createSimulatedFileSystem()
   const first = await openFolder(disk)
