membership: an entry of another writer takes no running database out of use

Cause: the start of an incarnation, which its sender chooses, decided alone. A later start at an address or under an id removed the record that was there, whatever group it named, and made each later announcement of the running database "ignored" for good. The same happened to a true database whose clock had been ahead at its former start.

Change, none of which compares a time of day of this process: - An entry of a group that no manifest names takes neither id nor address from a database of the manifest, and stands in no such database's way. - A claim to the id or address of a database that was heard within three announcement intervals, or that answers instances at its address, is held: not recorded, not acknowledged (503), logged once (414). A restarted database is taken over at most three intervals after its last announcement. - An earlier incarnation that goes on announcing itself (four announcements with rising sequences over three intervals, not bunched) replaces a record with a later start whose sender is silent (415). Late announcements do not reach that; one that has announced its end stays ended. - The command names the records that it supersedes, so that all members apply the decision of the leader. Commands of earlier versions keep their rule. While members of both versions run, an earlier one may keep another record; it is put right by the next announcements.

--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -21,7 +21,7 @@
   z.object({ kind: z.literal('commit-manifest'), base: count, manifest: z.looseObject({}), digest: name, operator: z.string() }),
   z.object({ kind: z.literal('adopt-manifest'), version: count, manifest: z.looseObject({}), document: z.string(), digest: name, operator: z.string() }),
   z.object({ kind: z.literal('set-failure-domain'), failureDomain: name, out: z.boolean() }),
-  z.object({ kind: z.literal('record-database'), database: databaseRecord }),
+  z.object({ kind: z.literal('record-database'), database: databaseRecord, superseded: z.array(z.object({ database: name, startedAt: z.number() })).optional() }),
   z.object({ kind: z.enum(['record-instance', 'forget-instance']), instance: name }),
   z.object({ kind: z.literal('begin-election'), group: name, term: count }),
   z.object({ kind: z.literal('set-primary'), group: name, term: count, database: name }),
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -45,7 +45,7 @@
   /** Called once when the data folder can't be written any more; the member has stopped by then. */
   onFailure: (failure: StorageFailure) => void
   /** Options of the coordinator besides the log and the connections. */
-  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailoverController' | 'holders' | 'selectRateHolders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxConfirmationAgeMs'>>
+  coordination: Pick<CoordinatorOptions, 'orders'> & Partial<Pick<CoordinatorOptions, 'createFailoverController' | 'holders' | 'selectRateHolders' | 'instanceLostMs' | 'publishMembers' | 'recordInstances' | 'rateTolerance' | 'maxConfirmationAgeMs' | 'announcementIntervalMs'>>
   /** Options of the replicated log that differ from their defaults. */
   log?: Pick<ControlLogOptions, 'consensus' | 'snapshotThreshold'>
 }
--- a/src/control/coordinator-options.ts
+++ b/src/control/coordinator-options.ts
@@ -40,6 +40,8 @@
   rateTolerance?: RateTolerance
   /** Maximum age of a leadership confirmation with which the leader answers further heartbeats, in ms. Default: each heartbeat waits for a new confirmation. */
   maxConfirmationAgeMs?: number
+  /** Time between two announcements of a database, in ms. Default 1000. */
+  announcementIntervalMs?: number
   /** Whether the directory lists the control members, for entry instances whose settings may list former members. Default false. */
   publishMembers?: boolean
 }
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -6,6 +6,7 @@
 import { createDatabaseWeights } from '../decisions/failure-domains/database-weights.js'
 import { createFailoverController } from '../decisions/failover/failover-controller.js'
 import type { FailoverMessage } from '../decisions/failover/failover-message.js'
+import { createDatabaseEvidence } from '../decisions/membership/database-evidence.js'
 import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
 import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
 import { isDirectoryReady } from '../decisions/membership/directory-readiness.js'
@@ -15,6 +16,7 @@
 import type { ControlSummary } from '../types/control-summary.js'
 import type { Announcement } from '../types/database-status.js'
 import type { GroupId } from '../types/ids.js'
+import type { SupersededRecord } from '../types/replicated-state.js'
 import type { CoordinatorOptions } from './coordinator-options.js'
 import { buildControlSummary } from './coordinator-summary.js'
 import type { DatabaseAnnouncements } from './database-announcements.js'
@@ -29,6 +31,8 @@
 import { createLostInstances } from './lost-instances.js'
 import { buildShareResources } from './share-resources.js'
 
+const DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1000
+
 /** A heartbeat whose answer waits for a leadership confirmation. The connection may receive a later heartbeat, which that confirmation does not cover. */
 interface PendingHeartbeat {
   connection: EntryConnection
@@ -68,6 +72,8 @@
   const isPlacingHolders = (options.holders ?? 'placed') === 'placed'
   const instances = createInstanceRegistry({ blackboard, clock, ...(options.instanceLostMs === undefined ? {} : { lostAfterMs: options.instanceLostMs }) })
   const databases = createDatabaseRegistry({ blackboard, clock })
+  const announcementIntervalMs = options.announcementIntervalMs ?? DEFAULT_ANNOUNCEMENT_INTERVAL_MS
+  const isDatabaseRunning = createDatabaseEvidence({ blackboard, clock, announcementIntervalMs })
   const weights = createDatabaseWeights({ blackboard, clock })
   const holderAssignment = createHolderAssignment({ blackboard, clock })
   const directoryBuilder = createDirectoryBuilder({ blackboard, ...(options.publishMembers === true ? { controlMembers: log.memberAddresses } : {}) })
@@ -76,7 +82,15 @@
   const connections = createEntryConnections({ clock, send })
   const runEffects = createFailoverEffects({ log, executeOrder: typeof orders === 'function' ? orders : executeOnDatabases(orders), logEvent, handleOutcome: handleFailoverOutcome })
   const leadership = createLeadershipTracker<PendingHeartbeat>({ blackboard, clock, log, onBegin: handleLeadershipBegin, onEstablished: handleLeadershipEstablished, onEnd: handleLeadershipEnd, onConfirmed: answerConfirmed, onRefused: referUnconfirmed })
-  const announcements = createDatabaseAnnouncements({ log, isEstablished: isLeadershipEstablished, apply: (announcement) => { handleAnnouncement(announcement, 0) } })
+  const announcements = createDatabaseAnnouncements({
+    clock,
+    log,
+    logEvent,
+    announcementIntervalMs,
+    isRunning: isDatabaseRunning,
+    isEstablished: isLeadershipEstablished,
+    apply: (announcement, superseded) => { handleAnnouncement(announcement, 0, superseded) }
+  })
   const recordedInstances = createRecordedInstances({
     clock,
     log,
@@ -177,10 +191,10 @@
     logEvent('instanceLeft', { instance, incarnation })
   }
 
-  function handleAnnouncement (announcement: Announcement, ageMs: number): void {
+  function handleAnnouncement (announcement: Announcement, ageMs: number, superseded: readonly SupersededRecord[] = []): void {
     refreshReplicatedState()
     const { database, group, address } = announcement
-    const outcome = databases.announce(announcement, ageMs)
+    const outcome = databases.announce(announcement, ageMs, superseded)
     if (outcome === 'announced') logEvent('databaseAnnounced', { database, group, address })
     if (outcome === 'departing') logEvent('databaseDeparting', { database, group })
     if (outcome === 'role-changed') logEvent('databaseRoleChanged', { database, group, role: announcement.status.role })
--- a/src/control/database-announcements.ts
+++ b/src/control/database-announcements.ts
@@ -1,25 +1,41 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import { classifyAnnouncement, buildRecordedAnnouncement } from '../decisions/membership/announcement-classification.js'
+import { createContinuedReports } from '../decisions/membership/continued-reports.js'
+import type { Clock } from '../types/clock.js'
 import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
 import type { Announcement } from '../types/database-status.js'
 import type { DatabaseId } from '../types/ids.js'
+import type { LogEvent } from '../types/log-event.js'
+import type { DatabaseRecord, SupersededRecord } from '../types/replicated-state.js'
+
+/** Claims that are remembered so that each is logged once. */
+const MAX_LOGGED_CLAIMS = 1024
 
 export interface DatabaseAnnouncementsOptions {
+  clock: Clock
   log: ControlLog
+  logEvent: LogEvent
+  /** Time between two announcements of a database, in milliseconds. */
+  announcementIntervalMs: number
+  /** @returns whether a recorded database runs, in spite of a claim to its id or address */
+  isRunning: (record: DatabaseRecord, claim: Announcement) => boolean
   /** @returns whether this member leads and has applied everything that earlier leaders committed */
   isEstablished: () => boolean
-  /** Applies an announcement that the classification did not reject. */
-  apply: (announcement: Announcement) => void
+  /** Applies an announcement that the classification did not reject, in place of the databases in `superseded`. */
+  apply: (announcement: Announcement, superseded: readonly SupersededRecord[]) => void
 }
 
+export type AnnouncementResult = 'accepted' | 'ignored' | 'held'
+
 /** Handles announcements that databases send directly to the control instances. */
 export interface DatabaseAnnouncements {
   /**
    * Handles an announcement. Resolves after the control log has recorded a new state of the database.
-   * @returns `ignored` for an announcement of an earlier or ended incarnation; an error when this member does not lead or could not record it
+   * @returns `ignored` for an announcement of an earlier or ended incarnation; `held` for one that claims the id or address of a running
+   * database, which must not be acknowledged; an error when this member does not lead or could not record it
    */
-  announce: (announcement: Announcement) => Promise<Result<'accepted' | 'ignored', ControlLogFailure>>
+  announce: (announcement: Announcement) => Promise<Result<AnnouncementResult, ControlLogFailure>>
   /** @returns the announcement of a database that the control log recorded last */
   recorded: (database: DatabaseId) => Announcement | undefined
   /** Applies the announcements that earlier leaders recorded. They are in force until the databases announce themselves again. */
@@ -27,27 +43,56 @@
 }
 
 /** Creates the part of the coordinator that handles announcements of databases. */
-export function createDatabaseAnnouncements ({ log, isEstablished, apply }: DatabaseAnnouncementsOptions): DatabaseAnnouncements {
-  async function announce (announcement: Announcement): Promise<Result<'accepted' | 'ignored', ControlLogFailure>> {
+export function createDatabaseAnnouncements (options: DatabaseAnnouncementsOptions): DatabaseAnnouncements {
+  const { clock, log, logEvent, announcementIntervalMs, isEstablished, isRunning, apply } = options
+  const continuedReports = createContinuedReports({ clock, announcementIntervalMs })
+  /** Claim that was logged last for each database. */
+  const loggedClaims = new Map<DatabaseId, number>()
+
+  async function announce (announcement: Announcement): Promise<Result<AnnouncementResult, ControlLogFailure>> {
     if (!isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
-    const classification = classifyAnnouncement(log.state().databases, announcement)
+    const { databases, manifest } = log.state()
+    const { run } = announcement
+    const classification = classifyAnnouncement(databases, announcement, {
+      hasGroup: (group) => manifest?.groups.some(({ id }) => id === group) === true,
+      isRunning: (record) => isRunning(record, announcement),
+      continues: () => run !== undefined && continuedReports.record(announcement, run)
+    })
     if (classification.kind === 'ignored') return ok('ignored')
-    if (classification.kind === 'new') {
-      const recorded = await log.propose({ kind: 'record-database', database: classification.record })
-      if (recorded.isErr()) return err(recorded.error)
+    if (classification.kind === 'held') return hold(announcement)
+    if (classification.kind === 'known') {
+      apply(classification.announcement, [])
+      return ok('accepted')
     }
-    if (isEstablished()) apply(classification.announcement)
+    const { record, superseded } = classification
+    const recorded = await log.propose({ kind: 'record-database', database: record, superseded: superseded.map(({ database, startedAt }) => ({ database, startedAt })) })
+    if (recorded.isErr()) return err(recorded.error)
+    for (const { database, startedAt } of superseded) {
+      if (startedAt > record.startedAt) logEvent('databaseReinstated', { database: record.database, group: record.group, replaced: database })
+    }
+    if (isEstablished()) apply(classification.announcement, superseded)
     return ok('accepted')
   }
 
+  function hold ({ database, group, address, run }: Announcement): Result<AnnouncementResult, ControlLogFailure> {
+    const startedAt = run?.startedAt ?? 0
+    if (loggedClaims.get(database) !== startedAt) logEvent('announcementHeld', { database, group, address })
+    loggedClaims.delete(database)
+    loggedClaims.set(database, startedAt)
+    const oldest = loggedClaims.keys().next().value
+    if (loggedClaims.size > MAX_LOGGED_CLAIMS && oldest !== undefined) loggedClaims.delete(oldest)
+    return ok('held')
+  }
+
   function recorded (database: DatabaseId): Announcement | undefined {
     const record = log.state().databases.find((known) => known.database === database)
     return record === undefined ? undefined : buildRecordedAnnouncement(record)
   }
 
   function applyRecorded (): void {
+    continuedReports.reset()
     for (const record of log.state().databases) {
-      if (record.state !== 'gone') apply(buildRecordedAnnouncement(record))
+      if (record.state !== 'gone') apply(buildRecordedAnnouncement(record), [])
     }
   }
 
--- a/src/decisions/manifest/apply-command.ts
+++ b/src/decisions/manifest/apply-command.ts
@@ -20,6 +20,7 @@
 type CommitManifest = Extract<Command, { kind: 'commit-manifest' }>
 type AdoptManifest = Extract<Command, { kind: 'adopt-manifest' }>
 type SetFailureDomain = Extract<Command, { kind: 'set-failure-domain' }>
+type RecordDatabase = Extract<Command, { kind: 'record-database' }>
 type RecordInstance = Extract<Command, { kind: 'record-instance' | 'forget-instance' }>
 type BeginElection = Extract<Command, { kind: 'begin-election' }>
 type SetPrimary = Extract<Command, { kind: 'set-primary' }>
@@ -39,7 +40,7 @@
     case 'commit-manifest': return commitManifest(state, command)
     case 'adopt-manifest': return adoptManifest(state, command)
     case 'set-failure-domain': return setFailureDomain(state, command)
-    case 'record-database': return recordDatabase(state, command.database)
+    case 'record-database': return recordDatabase(state, command)
     case 'record-instance':
     case 'forget-instance': return recordInstance(state, command)
     case 'begin-election': return beginElection(state, command)
@@ -90,14 +91,17 @@
   return { state: { ...state, instances: kind === 'record-instance' ? [...others, instance] : others }, answer: { kind: 'instances-recorded' } }
 }
 
-/** A record of an earlier incarnation changes nothing, and neither does another record of an incarnation whose recorded state is `gone`. */
-function recordDatabase (state: ReplicatedState, record: DatabaseRecord): AppliedCommand {
+/**
+ * A record of an earlier incarnation changes nothing unless the command supersedes the later one, and neither does another record of an
+ * incarnation whose recorded state is `gone`.
+ */
+function recordDatabase (state: ReplicatedState, { database: record, superseded }: RecordDatabase): AppliedCommand {
   const answer: CommandAnswer = { kind: 'database-recorded' }
+  const isNamed = ({ database, startedAt }: DatabaseRecord): boolean => superseded?.some((named) => named.database === database && named.startedAt === startedAt) === true
   const existing = state.databases.find(({ database }) => database === record.database)
-  if (existing !== undefined && existing.startedAt > record.startedAt) return { state, answer }
+  if (existing !== undefined && existing.startedAt > record.startedAt && !isNamed(existing)) return { state, answer }
   if (existing?.startedAt === record.startedAt && existing.state === 'gone') return { state, answer }
-  // A later incarnation at the same address has replaced the database that was there before.
-  const isReplaced = ({ address, startedAt }: DatabaseRecord): boolean => address === record.address && startedAt < record.startedAt
+  const isReplaced = (other: DatabaseRecord): boolean => superseded === undefined ? other.address === record.address && other.startedAt < record.startedAt : isNamed(other)
   const others = state.databases.filter((other) => other.database !== record.database && !isReplaced(other))
   return { state: { ...state, databases: [...others, record].slice(-REMEMBERED_DATABASE_COUNT) }, answer }
 }
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -6,6 +6,7 @@
 import type { DatabaseObservation } from '../../types/control-message.js'
 import type { Announcement, DatabaseIncarnation, DatabaseStatus } from '../../types/database-status.js'
 import type { DatabaseId } from '../../types/ids.js'
+import type { SupersededRecord } from '../../types/replicated-state.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
 /** A database whose announcements name no `run` stays departing until none of them has said so for this time: two announcement intervals. */
@@ -33,9 +34,10 @@
   /**
    * Handles an announcement.
    * @param ageMs - time since the announcement reached an instance, in ms; default 0
+   * @param superseded - incarnations that the announcing database has replaced, whatever their start; default none
    * @returns what changed
    */
-  announce: (announcement: Announcement, ageMs?: number) => AnnouncementOutcome
+  announce: (announcement: Announcement, ageMs?: number, superseded?: readonly SupersededRecord[]) => AnnouncementOutcome
   /** Handles the status of a database that a connection holder reported. */
   observe: (observation: DatabaseObservation) => void
   /** Handles the status in the answer of a database to an order. */
@@ -66,8 +68,9 @@
     return true
   }
 
-  function announce (announcement: Announcement, ageMs = 0): AnnouncementOutcome {
+  function announce (announcement: Announcement, ageMs = 0, superseded: readonly SupersededRecord[] = []): AnnouncementOutcome {
     const { database, status } = announcement
+    removeSuperseded(superseded)
     const known = databases.get(database)
     const receivedAt = milliseconds(clock.now() - ageMs)
     // A repeated announcement must not replace newer information, nor count as a new announcement.
@@ -92,7 +95,6 @@
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
     }
-    removeReplacedDatabases(announcement, run)
     databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt })
     entry.write(databases)
     const outcome = determineOutcome(known, announcement, departing)
@@ -100,11 +102,9 @@
     return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
   }
 
-  /** Removes databases of another name and an earlier incarnation at the same address: the announcing database has replaced them. */
-  function removeReplacedDatabases ({ database, address }: Announcement, run: DatabaseIncarnation): void {
-    for (const [other, { announcement }] of databases) {
-      const isEarlier = announcement.run !== undefined && announcement.run.startedAt < run.startedAt
-      if (other !== database && announcement.address === address && isEarlier) databases.delete(other)
+  function removeSuperseded (superseded: readonly SupersededRecord[]): void {
+    for (const { database, startedAt } of superseded) {
+      if (databases.get(database)?.announcement.run?.startedAt === startedAt) databases.delete(database)
     }
   }
 
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -10,7 +10,11 @@
   | { kind: 'adopt-manifest', version: number, manifest: Manifest, document: string, digest: string, operator: string }
   /** Takes a failure domain out of service or back in, independently of its state in the manifest. */
   | { kind: 'set-failure-domain', failureDomain: FailureDomainId, out: boolean }
-  | { kind: 'record-database', database: DatabaseRecord }
+  /**
+   * `superseded`: records that this one replaces besides an earlier one of the same database, whatever their start. Absent in commands of
+   * earlier versions of the program: the record then replaces those with its address and an earlier start.
+   */
+  | { kind: 'record-database', database: DatabaseRecord, superseded?: SupersededRecord[] }
   /** Must be applied before the instance may hold any share. */
   | { kind: 'record-instance', instance: InstanceId }
   /** The shares of the instance have expired or it left as planned. */
@@ -42,6 +46,9 @@
   state: 'ready' | 'departing' | 'gone'
 }
 
+/** Names the record of one incarnation. */
+export type SupersededRecord = Pick<DatabaseRecord, 'database' | 'startedAt'>
+
 /** State that every control member derives from the replicated log. */
 export interface ReplicatedState {
   /** 0: no manifest was committed yet. */
--- a/test/decisions/membership/database-runs.test.ts
+++ b/test/decisions/membership/database-runs.test.ts
@@ -55,3 +55,14 @@
   const state = applyCommand(createEmptyReplicatedState(), { kind: 'record-database', database: recordOf(buildAnnouncement('d', 10)) }).state
   t.equal(applyCommand(state, { kind: 'record-database', database: late }).state, state)
 })
+
+t.test('a record that supersedes one with a later start takes its place, also beside commands of earlier versions', async (t) => {
+  const later = recordOf(buildAnnouncement('d', 99))
+  const earlier = recordOf(buildAnnouncement('d', 10))
+  const state = applyCommand(createEmptyReplicatedState(), { kind: 'record-database', database: later }).state
+  t.same(applyCommand(state, { kind: 'record-database', database: earlier, superseded: [{ database: later.database, startedAt: 98 }] }).state, state, 'another incarnation is named')
+  t.same(applyCommand(state, { kind: 'record-database', database: earlier, superseded: [{ database: later.database, startedAt: 99 }] }).state.databases, [earlier])
+  const other = recordOf(buildAnnouncement('e', 100))
+  t.same(applyCommand(state, { kind: 'record-database', database: other, superseded: [] }).state.databases, [later, other], 'only the named records are replaced')
+  t.same(applyCommand(state, { kind: 'record-database', database: other }).state.databases, [other], 'a command without names follows the rule of its version')
+})
