membership: entries with values that no connection can use are refused, also those that stand in the log

Worse was an entry whose id has CR LF, or two letters that Latin-1 cuts to CR LF: it was answered 200, entry and control instances opened connections to its address, and the line that the id contained reached the database as a message of its own.

Cause: id, service and zone were checked only for not being empty, the host of the address only for blanks, numbers not for their sign. The id and the service go into the first line of each database connection. Records of the log were used as they are, so a log written before the check of the port still had them. A deregistration with unreadable fields ended the running incarnation.

Change: names are visible Latin-1 of at most 200 characters, a zone any text without control characters, an address a host name or IPv4 address with a port, numbers exact and not negative.

--- a/src/control/database-announcements.ts
+++ b/src/control/database-announcements.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
+import { findUnusableField } from '../decisions/membership/announcement-check.js'
 import { classifyAnnouncement, buildRecordedAnnouncement } from '../decisions/membership/announcement-classification.js'
 import { createContinuedReports } from '../decisions/membership/continued-reports.js'
 import type { Clock } from '../types/clock.js'
@@ -12,6 +13,9 @@
 /** Claims that are remembered so that each is logged once. */
 const MAX_LOGGED_CLAIMS = 1024
 
+/** Length to which the name of a database with unusable values is cut in the log. */
+const MAX_LOGGED_LENGTH = 100
+
 export interface DatabaseAnnouncementsOptions {
   clock: Clock
   log: ControlLog
@@ -26,14 +30,14 @@
   apply: (announcement: Announcement, superseded: readonly SupersededRecord[]) => void
 }
 
-export type AnnouncementResult = 'accepted' | 'ignored' | 'held'
+export type AnnouncementResult = 'accepted' | 'ignored' | 'held' | 'unreadable'
 
 /** Handles announcements that databases send directly to the control instances. */
 export interface DatabaseAnnouncements {
   /**
    * Handles an announcement. Resolves after the control log has recorded a new state of the database.
    * @returns `ignored` for an announcement of an earlier or ended incarnation; `held` for one that claims the id or address of a running
-   * database, which must not be acknowledged; an error when this member does not lead or could not record it
+   * database, which must not be acknowledged; `unreadable` for one whose values no connection can use; an error when this member does not lead or could not record it
    */
   announce: (announcement: Announcement) => Promise<Result<AnnouncementResult, ControlLogFailure>>
   /** @returns the announcement of a database that the control log recorded last */
@@ -51,6 +55,7 @@
 
   async function announce (announcement: Announcement): Promise<Result<AnnouncementResult, ControlLogFailure>> {
     if (!isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
+    if (isUnusable(announcement)) return ok('unreadable')
     const { databases, manifest } = log.state()
     const { run } = announcement
     const classification = classifyAnnouncement(databases, announcement, {
@@ -74,6 +79,12 @@
     return ok('accepted')
   }
 
+  function isUnusable (announcement: Omit<Announcement, 'status'>): boolean {
+    const field = findUnusableField(announcement)
+    if (field !== null) logEvent('announcementUnreadable', { database: announcement.database.slice(0, MAX_LOGGED_LENGTH), field })
+    return field !== null
+  }
+
   function hold ({ database, group, address, run }: Announcement): Result<AnnouncementResult, ControlLogFailure> {
     const startedAt = run?.startedAt ?? 0
     if (loggedClaims.get(database) !== startedAt) logEvent('announcementHeld', { database, group, address })
@@ -92,7 +103,8 @@
   function applyRecorded (): void {
     continuedReports.reset()
     for (const record of log.state().databases) {
-      if (record.state !== 'gone') apply(buildRecordedAnnouncement(record), [])
+      // The log may contain records that an earlier version wrote without this check.
+      if (record.state !== 'gone' && !isUnusable({ ...record, departing: false })) apply(buildRecordedAnnouncement(record), [])
     }
   }
 
--- a/test/control/odd-announcements.test.ts
+++ b/test/control/odd-announcements.test.ts
@@ -120,3 +120,23 @@
   }
   t.notOk(leader.usable().includes('c@10.0.0.2:5000'), 'an incarnation that announced its end')
 })
+
+t.test('a recorded entry whose fields no connection can use is not published', async (t) => {
+  const unusable: Entry[] = [
+    { ...B, id: 'x\r\nQUERY 1 WRITE item data', address: '10.9.9.1:1' }, { ...B, id: 'y z', address: '10.9.9.2:1' }, { ...B, id: 'port', address: '10.9.9.3:70000' }, { ...B, id: 'no-port', address: '10.9.9.4' },
+    { ...B, id: 'c\u010d\u010a', address: '10.9.9.5:1' }, { ...B, id: 'n'.repeat(5000), address: '10.9.9.6:1' }, { ...B, id: 'far', address: `${'h'.repeat(5000)}:1` }, { ...B, id: 'nul', address: 'h\0:1' }
+  ]
+  const leader = await startLeader(buildState({ databases: unusable.map(toRecord) }))
+  await run(leader, [A, B], 3)
+  t.same(leader.usable(), USABLE)
+  t.equal(leader.logged.filter((name) => name === 'announcementUnreadable').length, unusable.length)
+})
+
+t.test('the announcement of an unusable id or address is refused', async (t) => {
+  const leader = await startLeader()
+  for (const odd of [{ ...B, id: 'x\r\ny' }, { ...B, id: '' }, { ...B, address: '10.0.0.2:0' }, { ...B, group: 'a b' }, { ...B, failureDomain: '\u0007' }, { ...B, startedAt: Number.NaN }, { ...B, sequence: -5 }, { ...B, startedAt: 1.5 }]) {
+    t.equal(await leader.send(odd), 'unreadable', JSON.stringify(odd).slice(0, 80))
+  }
+  t.same(leader.state().databases, [])
+  t.equal(await leader.send({ ...B, id: 'b\u00e9', failureDomain: 'rack 7 \u010d' }), 'accepted', 'letters and blanks that harm no line')
+})
--- a/test/platform/registry-messages.test.ts
+++ b/test/platform/registry-messages.test.ts
@@ -24,4 +24,5 @@
   t.match(parseDeregistration({ born: 1000 }, known), { run: { gone: true } })
   t.equal(parseDeregistration({ born: 900 }, known), null)
   t.equal(parseDeregistration({}, undefined), null)
+  for (const odd of [{ born: 'x' }, { born: 900, sequence: 'x' }, { born: 1.5 }, 'text', [1]]) t.equal(parseDeregistration(odd, known), 'unreadable', JSON.stringify(odd))
 })
