membership: an entry with the highest sequence numbers hides no departure and no change of role

Read, not seen by callers: an entry with the id, the start and the place of a running database and `sequence` 2^53-1 leaves no higher number for the true one. The log recorded its departure or end, and the sender got 200, but the registry of the leader took the announcement for a late one: the database stayed in the directory and got new work until the next change of leadership. A change of its role was never seen.

Evidence: in test/control/odd-announcements.test.ts 2 of 17 fail on the code before: a database that announced its departure, or its end, is still used, and a new role is not logged after 8 announcements.

Change: the end and the departure of an incarnation count whatever their sequence, as neither is ever taken back within it. Otherwise lower sequences are believed once whoever sent the high one has been silent for three announcement intervals and the incarnation has gone on announcing itself. Late announcements beside newer ones still change nothing, which the third new test guards; it passed before too.

--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -6,6 +6,7 @@
 import { createDatabaseWeights } from '../decisions/failure-domains/database-weights.js'
 import { createFailoverController } from '../decisions/failover/failover-controller.js'
 import type { FailoverMessage } from '../decisions/failover/failover-message.js'
+import { DEFAULT_ANNOUNCEMENT_INTERVAL_MS } from '../decisions/membership/continued-reports.js'
 import { createDatabaseEvidence } from '../decisions/membership/database-evidence.js'
 import { createDatabaseRegistry } from '../decisions/membership/database-registry.js'
 import { createDirectoryBuilder } from '../decisions/membership/directory-builder.js'
@@ -31,8 +32,6 @@
 import { createLostInstances } from './lost-instances.js'
 import { buildShareResources } from './share-resources.js'
 
-const DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1000
-
 /** A heartbeat whose answer waits for a leadership confirmation. The connection may receive a later heartbeat, which that confirmation does not cover. */
 interface PendingHeartbeat {
   connection: EntryConnection
@@ -71,8 +70,8 @@
   const maxConfirmationAgeMs = options.maxConfirmationAgeMs ?? -1
   const isPlacingHolders = (options.holders ?? 'placed') === 'placed'
   const instances = createInstanceRegistry({ blackboard, clock, ...(options.instanceLostMs === undefined ? {} : { lostAfterMs: options.instanceLostMs }) })
-  const databases = createDatabaseRegistry({ blackboard, clock })
   const announcementIntervalMs = options.announcementIntervalMs ?? DEFAULT_ANNOUNCEMENT_INTERVAL_MS
+  const databases = createDatabaseRegistry({ blackboard, clock, announcementIntervalMs })
   const isDatabaseRunning = createDatabaseEvidence({ blackboard, clock, announcementIntervalMs })
   const weights = createDatabaseWeights({ blackboard, clock })
   const holderAssignment = createHolderAssignment({ blackboard, clock })
--- a/src/decisions/membership/continued-reports.ts
+++ b/src/decisions/membership/continued-reports.ts
@@ -2,6 +2,10 @@
 import type { Announcement, DatabaseIncarnation } from '../../types/database-status.js'
 import type { Address, DatabaseId } from '../../types/ids.js'
 
+/** Time between two announcements of a database in milliseconds, where the settings name none. */
+export const DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1000
+/** Announcement intervals after its last announcement for which a database counts as running. */
+export const RUNNING_INTERVALS = 3
 /** Intervals over which the announcements of an incarnation must extend. A pause of this length begins the count anew. */
 const CONTINUED_INTERVALS = 3
 /** Announcements that must be counted over that time. */
--- a/src/decisions/membership/database-evidence.ts
+++ b/src/decisions/membership/database-evidence.ts
@@ -3,9 +3,8 @@
 import type { Clock } from '../../types/clock.js'
 import type { Announcement } from '../../types/database-status.js'
 import type { DatabaseRecord } from '../../types/replicated-state.js'
+import { RUNNING_INTERVALS } from './continued-reports.js'
 
-/** Announcement intervals after its last announcement for which a database counts as running. */
-export const RUNNING_INTERVALS = 3
 /** Age of an instance's report up to which it shows that a database answers, in milliseconds: three heartbeat intervals. */
 const MAX_REPORT_AGE_MS = 1500
 
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -7,6 +7,7 @@
 import type { Announcement, DatabaseIncarnation, DatabaseStatus } from '../../types/database-status.js'
 import type { DatabaseId } from '../../types/ids.js'
 import type { SupersededRecord } from '../../types/replicated-state.js'
+import { createContinuedReports, DEFAULT_ANNOUNCEMENT_INTERVAL_MS, RUNNING_INTERVALS } from './continued-reports.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
 /** A database whose announcements name no `run` stays departing until none of them has said so for this time: two announcement intervals. */
@@ -19,6 +20,8 @@
 export interface DatabaseRegistryOptions {
   blackboard: Blackboard
   clock: Clock
+  /** Time between two announcements of a database, in milliseconds. Default 1000. */
+  announcementIntervalMs?: number
 }
 
 /**
@@ -50,9 +53,10 @@
 
 /** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entry `registeredDatabasesEntry`. */
 export function createDatabaseRegistry (options: DatabaseRegistryOptions): DatabaseRegistry {
-  const { blackboard, clock } = options
+  const { blackboard, clock, announcementIntervalMs = DEFAULT_ANNOUNCEMENT_INTERVAL_MS } = options
   const entry = blackboard.claim(registeredDatabasesEntry, 'database-registry')
   const retiredIncarnations = createRetiredIncarnations<DatabaseId>()
+  const continuedReports = createContinuedReports({ clock, announcementIntervalMs })
   const lastDepartingAt = new Map<DatabaseId, Milliseconds>()
   let databases = new Map<DatabaseId, RegisteredDatabase>()
   entry.write(databases)
@@ -89,7 +93,9 @@
     const { database, departing, status } = announcement
     const known = databases.get(database)
     const last = known?.announcement.run
-    if (last !== undefined && (run.startedAt < last.startedAt || (run.startedAt === last.startedAt && run.sequence <= last.sequence))) return 'ignored'
+    if (last !== undefined && run.startedAt < last.startedAt) return 'ignored'
+    const isLate = last?.startedAt === run.startedAt && run.sequence <= last.sequence
+    if (isLate && !run.gone && !isSequenceWrong(known, announcement, run)) return handleLateAnnouncement(known, announcement)
     if (run.gone) {
       databases.delete(database)
       entry.write(databases)
@@ -102,6 +108,23 @@
     return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
   }
 
+  /**
+   * Whether the highest sequence that is known of the incarnation is wrong, such as one of another writer: whoever sent it is silent, and
+   * the incarnation goes on announcing itself with lower ones.
+   */
+  function isSequenceWrong (known: RegisteredDatabase | undefined, announcement: Announcement, run: DatabaseIncarnation): boolean {
+    const isSilent = known !== undefined && clock.now() - known.announcedAt >= announcementIntervalMs * RUNNING_INTERVALS
+    return continuedReports.record(announcement, run) && isSilent
+  }
+
+  /** Only a departure still counts when it is late, as an incarnation that departs does not return. */
+  function handleLateAnnouncement (known: RegisteredDatabase | undefined, { database, departing }: Announcement): AnnouncementOutcome {
+    if (known === undefined || !departing || known.departing) return 'ignored'
+    databases.set(database, { ...known, announcement: { ...known.announcement, departing }, departing })
+    entry.write(databases)
+    return 'departing'
+  }
+
   function removeSuperseded (superseded: readonly SupersededRecord[]): void {
     for (const { database, startedAt } of superseded) {
       if (databases.get(database)?.announcement.run?.startedAt === startedAt) databases.delete(database)
@@ -131,6 +154,7 @@
   function reset (): void {
     databases = new Map()
     lastDepartingAt.clear()
+    continuedReports.reset()
     entry.write(databases)
   }
 
--- a/test/control/odd-announcements.test.ts
+++ b/test/control/odd-announcements.test.ts
@@ -140,3 +140,36 @@
   t.same(leader.state().databases, [])
   t.equal(await leader.send({ ...B, id: 'b\u00e9', failureDomain: 'rack 7 \u010d' }), 'accepted', 'letters and blanks that harm no line')
 })
+
+t.test('a departure counts although an entry has used up the sequence numbers of the incarnation', async (t) => {
+  for (const ending of [{ departing: true }, { gone: true }]) {
+    const leader = await startLeader()
+    const [a, b] = await run(leader, [A, B], 3) as [Entry, Entry]
+    await leader.send({ ...b, sequence: Number.MAX_SAFE_INTEGER })
+    await leader.send({ ...b, ...ending, sequence: b.sequence + 1 })
+    await run(leader, [a], 2)
+    t.same(leader.usable(), ['a@10.0.0.1:5000'], Object.keys(ending)[0])
+  }
+})
+
+t.test('a changed role counts although an entry has used up the sequence numbers of the incarnation', async (t) => {
+  const leader = await startLeader()
+  const current = await run(leader, [A, B], 3) as [Entry, Entry]
+  await leader.send({ ...current[1], sequence: Number.MAX_SAFE_INTEGER })
+  await run(leader, [current[0], { ...current[1], role: 'primary' }], 8)
+  t.ok(leader.logged.includes('databaseRoleChanged'))
+})
+
+t.test('a late announcement changes neither role nor departure of an incarnation that goes on announcing itself', async (t) => {
+  const leader = await startLeader()
+  let [a, b] = await run(leader, [A, B], 3) as [Entry, Entry]
+  for (let interval = 0; interval < 8; interval++) {
+    [a, b] = await run(leader, [a, b], 1) as [Entry, Entry]
+    await leader.send({ ...b, role: 'primary', sequence: b.sequence - 2 })
+  }
+  t.notOk(leader.logged.includes('databaseRoleChanged'))
+  await leader.send({ ...b, departing: true, sequence: b.sequence + 1 })
+  for (const sequence of [b.sequence - 1, b.sequence]) await leader.send({ ...b, sequence })
+  await run(leader, [a], 1)
+  t.same(leader.usable(), ['a@10.0.0.1:5000'])
+})
