membership: an entry that was announced once and never answers holds up no election for good

Read, not seen by callers: an entry with an id and an address of its own and a group of the manifest is a member of that group for ever, also at later leaders. Where commits wait for replicas, an election waits for the position of every member, so after the loss of the primary the group never got another one.

Change: a database that has announced itself once only and of which no instance and no order had an answer is removed after 30 announcement intervals, and its record says so (416), in an optional field that earlier versions pass on. Its next announcement registers it again.

--- a/src/blackboard/control-instance-entries.ts
+++ b/src/blackboard/control-instance-entries.ts
@@ -51,6 +51,8 @@
   status: DatabaseStatus
   /** Latest time at which `status` can have been true. */
   statusAt: Milliseconds
+  /** Its incarnation has announced itself once only, and no instance has had an answer of it. Absent: otherwise. */
+  isUnconfirmed?: true
 }
 
 /** Result of the last switchover or failover of a group. */
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -298,6 +298,10 @@
       logEvent('instanceLost', { instance: instance.instance })
     }
     if (databases.tick().length > 0) directoryPace.markStale()
+    for (const database of databases.removeUnconfirmed()) {
+      directoryPace.markStale()
+      announcements.recordUnconfirmed(database)
+    }
     if (directoryPace.isDue()) updateDirectory()
     runEffects(failover.tick())
     publishIfSwitchesChanged()
--- a/src/control/database-announcements.ts
+++ b/src/control/database-announcements.ts
@@ -42,6 +42,8 @@
   announce: (announcement: Announcement) => Promise<Result<AnnouncementResult, ControlLogFailure>>
   /** @returns the announcement of a database that the control log recorded last */
   recorded: (database: DatabaseId) => Announcement | undefined
+  /** Records that a database is unconfirmed, so that a later leader does not use it before it announces itself again. */
+  recordUnconfirmed: (database: DatabaseId) => void
   /** Applies the announcements that earlier leaders recorded. They are in force until the databases announce themselves again. */
   applyRecorded: () => void
 }
@@ -100,13 +102,21 @@
     return record === undefined ? undefined : buildRecordedAnnouncement(record)
   }
 
+  function recordUnconfirmed (database: DatabaseId): void {
+    const record = log.state().databases.find((known) => known.database === database)
+    if (record === undefined) return
+    logEvent('databaseUnconfirmed', { database, group: record.group, address: record.address })
+    // Without an answer of the log, a later leader restores the record and waits for the database again.
+    log.propose({ kind: 'record-database', database: { ...record, unconfirmed: true }, superseded: [] }).catch((error: unknown) => { logEvent('unexpectedError', { message: String(error) }) })
+  }
+
   function applyRecorded (): void {
     continuedReports.reset()
     for (const record of log.state().databases) {
       // The log may contain records that an earlier version wrote without this check.
-      if (record.state !== 'gone' && !isUnusable({ ...record, departing: false })) apply(buildRecordedAnnouncement(record), [])
+      if (record.state !== 'gone' && record.unconfirmed === undefined && !isUnusable({ ...record, departing: false })) apply(buildRecordedAnnouncement(record), [])
     }
   }
 
-  return { announce, recorded, applyRecorded }
+  return { announce, recorded, recordUnconfirmed, applyRecorded }
 }
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -17,6 +17,13 @@
 /** A departing database without a status for this time is removed. */
 export const DEPARTED_EXPIRY_MS = 10_000
 
+/**
+ * Announcement intervals after which a database is removed that has announced itself once and never answered, as an entry of another writer
+ * does. Until then an election may wait for it, since a database may hold acknowledged writes. Longer than the partitions that have been
+ * seen to keep announcements away.
+ */
+const UNCONFIRMED_INTERVALS = 30
+
 export interface DatabaseRegistryOptions {
   blackboard: Blackboard
   clock: Clock
@@ -45,6 +52,8 @@
   observe: (observation: DatabaseObservation) => void
   /** Handles the status in the answer of a database to an order. */
   answered: (status: DatabaseStatus) => void
+  /** Removes databases that are still unconfirmed after `UNCONFIRMED_INTERVALS`. @returns the databases that this call removed */
+  removeUnconfirmed: () => DatabaseId[]
   /** Removes departed databases. @returns the databases that this call removed */
   tick: () => DatabaseId[]
   /** Clears the registry. The coordinator calls it at each change of leadership. */
@@ -101,7 +110,8 @@
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
     }
-    databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt })
+    const isConfirmed = run.sequence < 0 || last?.startedAt === run.startedAt
+    databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt, ...(isConfirmed ? {} : { isUnconfirmed: true }) })
     entry.write(databases)
     const outcome = determineOutcome(known, announcement, departing)
     const isRoleNew = known !== undefined && known.announcement.status.role !== status.role
@@ -138,7 +148,29 @@
     entry.write(databases)
   }
 
+  function confirm (database: DatabaseId): void {
+    const known = databases.get(database)
+    if (known?.isUnconfirmed === undefined) return
+    const { isUnconfirmed, ...confirmed } = known
+    databases.set(database, confirmed)
+    entry.write(databases)
+  }
+
+  function answered (status: DatabaseStatus): void {
+    confirm(status.database)
+    updateStatus(status, clock.now())
+  }
+
+  function removeUnconfirmed (): DatabaseId[] {
+    const oldest = clock.now() - announcementIntervalMs * UNCONFIRMED_INTERVALS
+    const removed = [...databases.values()].filter(({ isUnconfirmed, announcedAt }) => isUnconfirmed === true && announcedAt < oldest).map(({ announcement }) => announcement.database)
+    for (const database of removed) databases.delete(database)
+    if (removed.length > 0) entry.write(databases)
+    return removed
+  }
+
   function observe (observation: DatabaseObservation): void {
+    if (observation.silentForMs === 0) confirm(observation.database)
     if (observation.status === null) return
     updateStatus(observation.status, milliseconds(clock.now() - observation.silentForMs))
   }
@@ -158,7 +190,7 @@
     entry.write(databases)
   }
 
-  return { announce, observe, answered: (status) => updateStatus(status, clock.now()), tick, reset }
+  return { announce, observe, answered, removeUnconfirmed, tick, reset }
 }
 
 function determineOutcome (known: RegisteredDatabase | undefined, announcement: Announcement, departing: boolean): AnnouncementOutcome {
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -54,6 +54,7 @@
   announcementUnreadable: { event: 411, name: 'announcement-unreadable', level: 'warn', meaning: 'An announcement could not be parsed or comes from another kind of sender; no database is registered from it.' },
   announcementHeld: { event: 414, name: 'announcement-held', level: 'warn', meaning: 'An announcement claims the id or address of a database that still runs; it is neither recorded nor acknowledged until that one is silent.' },
   databaseReinstated: { event: 415, name: 'database-reinstated', level: 'warn', meaning: 'A database that goes on announcing itself replaced a record with a later start, whose sender is silent.' },
+  databaseUnconfirmed: { event: 416, name: 'database-unconfirmed', level: 'warn', meaning: 'A database announced itself once only and never answered; it is not used before it announces itself again.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -44,6 +44,8 @@
   role: 'primary' | 'replica'
   /** `gone`: the database announced its end. */
   state: 'ready' | 'departing' | 'gone'
+  /** The incarnation announced itself once only, and nothing has answered at its address since. No leader uses it before it announces itself again. */
+  unconfirmed?: true
 }
 
 /** Names the record of one incarnation. */
--- a/test/control/odd-announcements.test.ts
+++ b/test/control/odd-announcements.test.ts
@@ -173,3 +173,39 @@
   await run(leader, [a], 1)
   t.same(leader.usable(), ['a@10.0.0.1:5000'])
 })
+
+t.test('an entry at an address that nobody uses is not used for long, nor by the next leader', async (t) => {
+  const leader = await startLeader()
+  await run(leader, [A, B], 3)
+  await leader.send({ ...B, id: 'odd', address: '10.9.9.9:1' })
+  t.ok(leader.usable().includes('odd@10.9.9.9:1'), 'a new database is used at its first announcement')
+  await run(leader, [{ ...A, sequence: 3 }, { ...B, sequence: 3 }], 40)
+  t.same(leader.usable(), USABLE)
+  await leader.changeLeader()
+  await run(leader, [{ ...A, sequence: 50 }, { ...B, sequence: 50 }], 2)
+  t.same(leader.usable(), USABLE, 'at the next leader')
+})
+
+t.test('a group whose commits wait for replicas elects a primary although an odd entry never answers', async (t) => {
+  const leader = await startLeader()
+  leader.fences.set('a', 0).set('b', 0)
+  const [, b] = await run(leader, [A, B], 3) as [Entry, Entry]
+  t.equal(leader.primary(), 'a')
+  await leader.send({ ...B, id: 'odd', address: '10.9.9.9:1' })
+  leader.fences.delete('a')
+  for (let interval = 1; interval <= 45; interval++) {
+    await run(leader, [{ ...b, sequence: b.sequence + interval, role: leader.promoted() === 'b' ? 'primary' : 'replica' }], 1)
+  }
+  t.equal(leader.primary(), 'b')
+})
+
+t.test('a silent database stays registered after its second announcement or an answer, because it may hold acknowledged writes', async (t) => {
+  const leader = await startLeader()
+  leader.answering.add('c')
+  await run(leader, [A, B], 2)
+  await leader.send({ ...B, id: 'c', address: '10.0.0.3:5000' })
+  await leader.advance(HEARTBEAT_MS)
+  leader.answering.delete('c')
+  await run(leader, [{ ...A, sequence: 3 }], 60)
+  t.same(leader.usable(), [...USABLE, 'c@10.0.0.3:5000'])
+})
