membership: a flood of odd entries pushes no running database out of the log

Read, not seen by callers: the log keeps 8,192 records of databases and dropped those that had not changed for the longest time, which are those of databases that have run undisturbed. A new leader then did not know them before their next announcement, and their departures were forgotten.

Evidence: the new test in test/decisions/membership/database-runs.test.ts fails on the code before: beside 8,191 records of a group that no manifest names, or that nothing has confirmed, the next record drops the running database.

Change: records of groups outside the manifest go first, then unconfirmed ones, then those of databases that are gone; among equals the one that has not changed for the longest time. The decision depends only on the state, and up to the limit nothing changes.

--- a/src/decisions/manifest/apply-command.ts
+++ b/src/decisions/manifest/apply-command.ts
@@ -103,7 +103,18 @@
   if (existing?.startedAt === record.startedAt && existing.state === 'gone') return { state, answer }
   const isReplaced = (other: DatabaseRecord): boolean => superseded === undefined ? other.address === record.address && other.startedAt < record.startedAt : isNamed(other)
   const others = state.databases.filter((other) => other.database !== record.database && !isReplaced(other))
-  return { state: { ...state, databases: [...others, record].slice(-REMEMBERED_DATABASE_COUNT) }, answer }
+  return { state: { ...state, databases: limitRecords(state, [...others, record]) }, answer }
+}
+
+/** Drops records above the limit: first those that no database of the manifest needs, then the ones that have not changed for the longest time. */
+function limitRecords ({ manifest }: ReplicatedState, databases: DatabaseRecord[]): DatabaseRecord[] {
+  const excess = databases.length - REMEMBERED_DATABASE_COUNT
+  if (excess <= 0) return databases
+  const groups = new Set((manifest?.groups ?? []).map(({ id }) => id))
+  const rankOf = ({ group, state, unconfirmed }: DatabaseRecord): number => !groups.has(group) ? 0 : unconfirmed === true ? 1 : state === 'gone' ? 2 : 3
+  // Sorting is stable, so records of one rank stay in the order of their changes.
+  const dropped = new Set([...databases].sort((left, right) => rankOf(left) - rankOf(right)).slice(0, excess))
+  return databases.filter((record) => !dropped.has(record))
 }
 
 function buildBaseMismatchAnswer (state: ReplicatedState, command: CommitManifest): CommandAnswer {
--- a/test/decisions/membership/database-runs.test.ts
+++ b/test/decisions/membership/database-runs.test.ts
@@ -66,3 +66,19 @@
   t.same(applyCommand(state, { kind: 'record-database', database: other, superseded: [] }).state.databases, [later, other], 'only the named records are replaced')
   t.same(applyCommand(state, { kind: 'record-database', database: other }).state.databases, [other], 'a command without names follows the rule of its version')
 })
+
+t.test('more entries than the log keeps drop no record of a running database', async (t) => {
+  const LIMIT = 8192
+  const running = recordOf(buildAnnouncement('d', 10, { address: address('10.0.0.9:1') }))
+  const groups = [{ id: running.group, slots: 5, connections: 30 }]
+  const manifest = { formatVersion: 1 as const, failureDomains: [], groups, workspaces: [], routes: [] }
+  const kinds: { name: string, change: Partial<DatabaseRecord> }[] = [{ name: 'of a group that no manifest names', change: { group: groupId('nobody') } }, { name: 'that nothing has confirmed', change: { unconfirmed: true } }, { name: 'of databases that are gone', change: { state: 'gone' } }]
+  for (const { name, change } of kinds) {
+    const odd = Array.from({ length: LIMIT - 1 }, (_, index): DatabaseRecord => ({ ...running, database: databaseId(`odd-${index}`), address: address(`10.9.0.${index}:1`), ...change }))
+    const added = { ...running, database: databaseId('new'), address: address('10.0.0.8:1') }
+    const { databases } = applyCommand({ ...createEmptyReplicatedState(), manifest, databases: [running, ...odd] }, { kind: 'record-database', database: added, superseded: [] }).state
+    t.equal(databases.length, LIMIT)
+    t.same([databases[0]?.database, databases.at(-1)?.database], ['d', 'new'], name)
+    t.notOk(databases.some(({ database }) => database === 'odd-0'), 'the one that has not changed for the longest time')
+  }
+})
