--- a/stand-ins/platform/wire-database.ts
+++ b/stand-ins/platform/wire-database.ts
@@ -84,6 +84,8 @@
   function serveSocket (socket: Socket): void {
     sockets.add(socket)
     socket.setNoDelay(true)
+    // Lines are read as Latin-1, so this preserves every byte.
+    socket.setDefaultEncoding('latin1')
     socket.on('error', () => {})
     socket.on('close', () => { sockets.delete(socket) })
     let session: Session | null = null
@@ -121,7 +123,7 @@
 
   /** @returns the answer, or null when a fault loses it */
   function runStatement (session: Session, statementId: string, receivedText: string): string | null {
-    const afterMatch = /^AFTER (\d+)\.(\d+) (.*)$/.exec(receivedText)
+    const afterMatch = /^AFTER (\d+)\.(\d+) (.*)$/s.exec(receivedText)
     const text = afterMatch?.[3] ?? receivedText
     const [verb = '', name = '', ...rest] = text.split(' ')
     const isData = verb === 'READ' || verb === 'WRITE' || verb === 'EXECUTE' || verb === 'COMMIT' || verb === 'BEGIN'
--- a/stand-ins/platform/wire-group.ts
+++ b/stand-ins/platform/wire-group.ts
@@ -152,6 +152,8 @@
     sockets.set(member, memberSockets)
     memberSockets.add(socket)
     socket.setNoDelay(true)
+    // Lines are read as Latin-1, so this preserves every byte.
+    socket.setDefaultEncoding('latin1')
     socket.on('error', () => {})
     socket.on('close', () => { memberSockets.delete(socket) })
     let buffered = ''
@@ -200,7 +202,7 @@
   }
 
   async function runStatement (member: GroupMember, session: Session, request: ReceivedRequest, receivedText: string): Promise<string> {
-    const afterMatch = /^AFTER (\d+)\.(\d+) (.*)$/.exec(receivedText)
+    const afterMatch = /^AFTER (\d+)\.(\d+) (.*)$/s.exec(receivedText)
     const statement = afterMatch?.[3] ?? receivedText
     const [verb = '', name = '', ...rest] = statement.split(' ')
     if (verb === 'STATUS' || verb === 'PAUSE' || verb === 'RESUME') return runControlStatement(member, verb, Number(name))
