wire: names reach databases as UTF-8, and names that no message can carry are refused

What callers saw: databases were told tenants that no key belongs to. Keys and database names outside of ASCII never matched those of the configuration. Cause: names are text from JSON, and were written into START with the Latin-1 encoding that statements need, which cuts a character to one byte. In the other direction the bytes of START were compared with text as if they were Latin-1. A configuration could have any name. A configuration with an empty name, or one with a blank, a tab, CR, LF, NUL or an unpaired surrogate, is refused with 400, the place and the reason; so is a tenant '-', which would be told like a caller without a key and have no rate. START is not sent with a name that is no field.

--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -102,6 +102,18 @@
   fixture.server.close()
 })
 
+t.test('endpoint and key of START are read as UTF-8, and bytes that are not UTF-8 name nothing', async (t) => {
+  const fixture = await startServer(async () => done)
+  for (const [line, opened] of [['START chợ-mơ khóa', ['chợ-mơ', digestKey('khóa')]], ['START shop k\xe9', ['shop', null]], ['START sh\xe9p k', ['', digestKey('k')]]] as const) {
+    const client = connectCaller(fixture.port)
+    client.socket.write(Buffer.from(`${line}\r\n`, line.includes('\xe9') ? 'latin1' : 'utf8'))
+    await client.until(/READY/)
+    t.same(fixture.opened.pop(), opened)
+    client.socket.destroy()
+  }
+  fixture.server.close()
+})
+
 t.test('START for an unknown endpoint is refused and the connection ends', async (t) => {
   const fixture = await startServer(async () => done)
   const client = connectCaller(fixture.port)
--- a/test/platform/configuration-document.test.ts
+++ b/test/platform/configuration-document.test.ts
@@ -1,7 +1,8 @@
 import t from 'tap'
 import { decodeConfiguration } from '../../platform/configuration-document.js'
+import { digestKey } from '../../src/utils/digest-key.js'
 
-/** Guards against adopting a damaged or contradictory configuration, and against storing keys instead of their digests. */
+/** Guards against adopting a damaged or contradictory configuration, against names that messages can't carry, and against storing keys instead of their digests. */
 
 const document = {
   version: 7,
@@ -27,6 +28,7 @@
 
 const [route] = document.routes
 const [tenant] = document.tenants
+const uncarriedNames = ['', ' ', 'a b', 'a\tb', 'a\r\nQUERY x WRITE y 0', 'a\n', 'a\0', '\ud800']
 const invalidDocuments: [string, unknown][] = [
   ['no document', undefined],
   ['a list', []],
@@ -37,13 +39,34 @@
   ['a time limit of 0', { ...document, routes: [{ ...route, timeout_ms: 0 }] }],
   ['an unknown route type', { ...document, routes: [{ ...route, route_type: 'other' }] }],
   ['two tenants with the same key', { ...document, tenants: [tenant, { ...tenant, name: 'other' }] }],
-  ['a rate that is not a number', { ...document, tenants: [{ ...tenant, rate_per_s: '80' }] }]
+  ['a rate that is not a number', { ...document, tenants: [{ ...tenant, rate_per_s: '80' }] }],
+  ['a route type that every object has as a property', { ...document, routes: [{ ...route, route_type: 'constructor' }] }],
+  ['a tenant with the name that stands for no tenant', { ...document, tenants: [{ ...tenant, name: '-' }] }],
+  ...uncarriedNames.flatMap((name): [string, unknown][] => [
+    [`the tenant ${JSON.stringify(name)}`, { ...document, tenants: [{ ...tenant, name }] }],
+    [`the service ${JSON.stringify(name)}`, { ...document, services: [{ ...document.services[0], name }], routes: [{ ...route, service: name }] }],
+    [`the database ${JSON.stringify(name)}`, { ...document, routes: [{ ...route, database: name }] }]
+  ]),
+  ...['', 'a\r\nb', 'a\0', '\ud800'].map((key): [string, unknown] => [`the key ${JSON.stringify(key)}`, { ...document, tenants: [{ ...tenant, api_keys: [key] }] }])
 ]
 
 for (const [name, given] of invalidDocuments) {
   t.test(`refused: ${name}`, async (t) => { t.ok(decodeConfiguration(given).isErr()) })
 }
 
+t.test('the refusal of a name says where it is and what is wrong', async (t) => {
+  t.match(decodeConfiguration({ ...document, tenants: [tenant, { ...tenant, name: 'a b', api_keys: ['three'] }] })._unsafeUnwrapErr(), /^tenants\.1\.name: a name must not .*contain a blank/)
+})
+
+t.test('names of any other characters are kept as they are, also those of properties that every object has', async (t) => {
+  for (const name of ['chợ-mơ', 'nypu\u010a', '😀', '__proto__', 'constructor', 'toString']) {
+    const service = { ...document.services[0], name }
+    const { manifest } = decodeConfiguration(JSON.parse(JSON.stringify({ ...document, services: [service], routes: [{ ...route, service: name, database: name }], tenants: [{ ...tenant, name, api_keys: [`${name} with a blank`] }] })))._unsafeUnwrap()
+    t.same([manifest.endpoints?.[0]?.name, manifest.endpoints?.[0]?.group, manifest.groups[0]?.id, manifest.workspaces[0]?.id], [name, name, name, name])
+    t.equal(manifest.workspaces[0]?.keys[0]?.digest, digestKey(`${name} with a blank`))
+  }
+})
+
 t.test('routes that differ in their paths only, and a key that one tenant lists twice, are valid', async (t) => {
   t.ok(decodeConfiguration({ ...document, routes: [route, { ...route, path_prefix: '/x' }] }).isOk())
   t.ok(decodeConfiguration({ ...document, tenants: [{ ...tenant, api_keys: ['one', 'one'] }] }).isOk())
--- a/test/platform/database-wire.test.ts
+++ b/test/platform/database-wire.test.ts
@@ -5,7 +5,10 @@
 import type { WireDatabase } from '../../stand-ins/platform/wire-database.js'
 import { startWireDatabase } from '../../stand-ins/platform/wire-database.js'
 
-/** Runs database sessions against a stand-in. Guards against replies that are mixed up, and against requests that never resolve after a loss. */
+/**
+ * Runs database sessions against a stand-in. Guards against replies that are mixed up, against requests that never resolve after a loss, and
+ * against names that reach the database changed.
+ */
 
 const OPEN_TIMEOUT_MS = 2000
 
@@ -29,6 +32,29 @@
   }
 })
 
+t.test('names of any characters reach the database as their UTF-8 bytes, and different workspaces as different ones', async (t) => {
+  const database = await startWireDatabase('g', 'i-1')
+  t.teardown(database.close)
+  for (const workspace of ['chợ-mơ', 'chợ-mạ', '\u010d\u010a', '\u0120', '__proto__']) {
+    const opened = await openWireSession({ database: databaseId('i-1'), group: groupId('g'), address: address(database.address), workspace: workspaceId(workspace) }, OPEN_TIMEOUT_MS)
+    t.ok(opened.isOk())
+    t.same(Buffer.from(database.received.pop() ?? '', 'latin1').toString('utf8'), `START g ${workspace} i-1`)
+    opened._unsafeUnwrap().close()
+  }
+})
+
+t.test('a session whose names are no fields is not opened', async (t) => {
+  const database = await startWireDatabase('g', 'i-1')
+  t.teardown(database.close)
+  const target = { database: databaseId('i-1'), group: groupId('g'), address: address(database.address), workspace: workspaceId('w') }
+  for (const name of ['', 'a b', 'w\r\nQUERY x WRITE y 0', 'w\n', '\ud800']) {
+    for (const changed of [{ ...target, workspace: workspaceId(name) }, { ...target, group: groupId(name) }, { ...target, database: databaseId(name) }]) {
+      t.equal((await openWireSession(changed, OPEN_TIMEOUT_MS))._unsafeUnwrapErr().kind, 'unreachable')
+    }
+  }
+  t.same(database.received, [])
+})
+
 t.test('requests sent together resolve with their own answers', async (t) => {
   const database = await startWireDatabase('g', 'i-1')
   t.teardown(database.close)
--- a/test/platform/whole-path.test.ts
+++ b/test/platform/whole-path.test.ts
@@ -48,3 +48,19 @@
   t.notMatch(receivedText, new RegExp(KEY), 'no database receives a key')
   caller.close()
 })
+
+t.test('databases are told the tenant that holds the key, also when the names of two tenants differ only outside of Latin-1', async (t) => {
+  const { databases, callerPort, sendUntilAccepted, announce } = await startDeployment((callback) => { t.teardown(callback) })
+  const names = ['chợ-mơ', 'chợ-mạ', '__proto__', 'constructor']
+  await sendUntilAccepted('/api/config/replace', buildConfiguration(7, { tenants: names.map((name) => ({ name, api_keys: [`khóa of ${name}`], rate_per_s: 500, burst: 200 })) }))
+  for (const name of databases.keys()) await announce(name)
+  for (const [index, name] of names.entries()) {
+    const caller = await connectCaller(callerPort, `khóa of ${name}`)
+    t.match(caller.greeting, /^READY I/, name)
+    let answer = ''
+    while (!answer.startsWith('DONE')) answer = await caller.sendMessage(`QUERY w${index} WRITE item data`)
+    caller.close()
+  }
+  const told = [...databases.values()].flatMap(({ ran }) => ran).map(({ id, workspace }) => [id, Buffer.from(workspace, 'latin1').toString('utf8')])
+  t.same(new Map(told as [string, string][]), new Map(names.map((name, index) => [`w${index}`, name])))
+})
