--- a/test/platform/control-server.test.ts
+++ b/test/platform/control-server.test.ts
@@ -8,7 +8,8 @@
 import type { LogEventName } from '../../src/types/log-event.js'
 
 /**
- * Sends calls of databases over sockets. Guards against names that would change the messages in which they are sent on.
+ * Sends calls of databases and operators over sockets. Guards against names that would change the messages in which they are sent on, and
+ * against names that change between a call and what the system knows.
  */
 
 const HOST = '127.0.0.1'
@@ -78,3 +79,19 @@
   t.equal(await post('/api/instances/constructor/heartbeat', JSON.stringify({ ...registration, service: '__proto__' })), 200)
   t.match(announced, [{ database: 'constructor', group: '__proto__' }])
 })
+
+t.test('a name in a path is the same whether its UTF-8 bytes are escaped or not', async (t) => {
+  const { post, failureDomains } = await startServer(t.teardown)
+  for (const path of ['/api/evacuations/ph%E1%BB%91-1/start', Buffer.from('/api/evacuations/phố-1/start')]) t.equal(await post(path), 200)
+  t.same(failureDomains, ['phố-1', 'phố-1'])
+})
+
+t.test('a body that is not UTF-8 is refused, since different names would be read as the same', async (t) => {
+  const { post, announced, versions } = await startServer(t.teardown)
+  const configuration = { version: 7, routes: [], services: [{ name: 'g' }], tenants: [{ name: 'NAME', api_keys: ['k'], rate_per_s: 1, burst: 1 }] }
+  t.equal(await post('/api/config/replace', Buffer.from(JSON.stringify(configuration).replace('NAME', '\xe9'), 'latin1')), 400)
+  t.equal(await post('/api/instances/i-x/heartbeat', Buffer.from(JSON.stringify({ ...registration, zone: '\xe9' }), 'latin1')), 400)
+  t.same([announced, versions], [[], []])
+  t.equal(await post('/api/config/replace', JSON.stringify(configuration).replace('NAME', 'é')), 200)
+  t.same(versions, [7])
+})
--- a/test/platform/promotion-orders.test.ts
+++ b/test/platform/promotion-orders.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { err } from 'neverthrow'
 import t from 'tap'
 import { openWireSession, readWireStatus } from '../../platform/database-wire.js'
@@ -6,7 +8,10 @@
 import { address, databaseId, groupId, instanceId } from '../../src/types/ids.js'
 import { startWireDatabase } from '../../stand-ins/platform/wire-database.js'
 
-/** Sends orders to a stand-in database. Guards against a fence that does not take effect or that the status does not show. */
+/**
+ * Sends orders to a stand-in database and to an authority. Guards against a fence that does not take effect or that the status does not show, and
+ * against a promotion that is not sent because of the name of its sender.
+ */
 
 t.test('a fenced replica reports its fenced term in its status until it is unfenced', async (t) => {
   const replica = await startWireDatabase('g', 'r', 'replica')
@@ -31,3 +36,17 @@
   })
   t.match(await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address(replica.address), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } }), { value: { role: 'replica' } })
 })
+
+t.test('the authority receives the name of the instance as UTF-8', async (t) => {
+  const holders: (string | undefined)[] = []
+  const authority = createServer((request, response) => {
+    holders.push(request.headers['lease-holder'] as string | undefined)
+    response.writeHead(200).end()
+  })
+  await new Promise<void>((resolve) => { authority.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { authority.close() })
+  const sendOrder = createPromotionOrders({ instance: instanceId('core-phở-é'), authority: `127.0.0.1:${(authority.address() as AddressInfo).port}`, open: openWireSession, readStatus: readWireStatus })
+  const promoted = await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address('127.0.0.1:1'), leaderTerm: 1, sentAt: 0, action: { kind: 'promote', term: 4 } })
+  t.ok(promoted.isOk())
+  t.same(holders.map((holder) => Buffer.from(holder ?? '', 'latin1').toString('utf8')), ['core-phở-é'])
+})
