wire: the text of a refusal can not end its message

No text of today has characters outside of Latin-1. Cause: CR and LF were replaced before the conversion to bytes, which makes new ones. The text is for readers only.

--- a/test/platform/caller-wire.test.ts
+++ b/test/platform/caller-wire.test.ts
@@ -122,6 +122,18 @@
   fixture.server.close()
 })
 
+t.test('a refusal is one message, whatever characters its text has', async (t) => {
+  const fixture = await startServer(async () => ({ ...done, outcome: { kind: 'refused', refusal: { result: 'databaseError', promise: 'ran', message: 'a\r\nb\u010d\u010aDONE p\u00e9', retryAfterMs: null } } }))
+  const client = connectCaller(fixture.port)
+  client.socket.write('START shop k\r\n')
+  await client.until(/READY I -\r\n$/)
+  client.socket.write('QUERY q1 READ x\r\n')
+  t.equal(await client.until(/READY I 3\.9\r\n$/), 'READY I -\r\nERROR FAILED a  b  DONE p\u00e9\r\nREADY I 3.9\r\n')
+  client.socket.destroy()
+  await client.ended
+  fixture.server.close()
+})
+
 t.test('missing START, oversized messages and unknown statements are refused', async (t) => {
   const fixture = await startServer(async () => done)
   const noStart = connectCaller(fixture.port)
