logs: the queue of lines is bounded in bytes

Evidence: the new test of create-line-writer.test.ts fails on the code before (489 lines dropped, 496 expected). Fix: the length of a line is counted in UTF-8 bytes.

--- a/src/adapters/logs/create-line-writer.ts
+++ b/src/adapters/logs/create-line-writer.ts
@@ -71,7 +71,7 @@
 
   function enqueue (line: string): void {
     queuedLines.push(line + '\n')
-    queuedBytes += line.length + 1
+    queuedBytes += Buffer.byteLength(line) + 1
     schedule()
   }
 
--- a/test/adapters/logs/create-line-writer.test.ts
+++ b/test/adapters/logs/create-line-writer.test.ts
@@ -31,3 +31,9 @@
   for (let line = 0; line < 500; line++) writer.write('x'.repeat(9))
   t.equal(writer.countDropped(), 489)
 })
+
+t.test('the queue is bounded in bytes, also when characters have several', async (t) => {
+  const writer = createLineWriter({ now: () => 0, burst: 1000, maxQueuedBytes: 100, composeDroppedLine: () => '', writeText: () => {} })
+  for (let line = 0; line < 500; line++) writer.write('ợ'.repeat(9))
+  t.equal(writer.countDropped(), 496)
+})
