wire: names of properties that every object has are no codes and no kinds of access

What callers could see: a database that answers with an unknown code such as 'constructor' was taken to promise that it had not run the statement, so a write was sent again and, at the end of its time, answered BUSY (TWICE, REFUSED). 'PREPARE name constructor shape' was accepted and ran as a WRITE. Cause: words from a connection were looked up in plain objects, which inherit properties. Evidence: the new tests of wire-words.test.ts and statement-text.test.ts fail on the code before. Fix: these tables are Maps.

--- a/src/adapters/http/refuse-unreadable.ts
+++ b/src/adapters/http/refuse-unreadable.ts
@@ -3,10 +3,10 @@
 import type { ResultName } from '../../types/result-code.js'
 import { buildRefusal, resultCodes } from '../../types/result-code.js'
 
-const resultByErrorCode: Record<string, [ResultName, string]> = {
-  HPE_HEADER_OVERFLOW: ['headersTooLarge', 'the headers are larger than the server takes'],
-  ERR_HTTP_REQUEST_TIMEOUT: ['requestIncomplete', 'the request did not arrive whole in time']
-}
+const resultByErrorCode = new Map<string, [ResultName, string]>([
+  ['HPE_HEADER_OVERFLOW', ['headersTooLarge', 'the headers are larger than the server takes']],
+  ['ERR_HTTP_REQUEST_TIMEOUT', ['requestIncomplete', 'the request did not arrive whole in time']]
+])
 
 /** Answers an incomplete or invalid HTTP request with a numbered result code and ends the connection. */
 export function refuseUnreadable (error: Error & { code?: string }, socket: Socket): void {
@@ -14,7 +14,7 @@
     socket.destroy()
     return
   }
-  const [result, message] = resultByErrorCode[error.code ?? ''] ?? ['malformedRequest', `the request is not valid HTTP (${error.message})`]
+  const [result, message]: [ResultName, string] = resultByErrorCode.get(error.code ?? '') ?? ['malformedRequest', `the request is not valid HTTP (${error.message})`]
   const refusal = buildRefusal(result, 'not-run', message)
   const { status, name } = resultCodes[result]
   const body = JSON.stringify({ code: refusal.code, name, outcome: refusal.outcome, message, retryAfterMs: null })
--- a/test/decisions/caller-sessions/caller-session.test.ts
+++ b/test/decisions/caller-sessions/caller-session.test.ts
@@ -23,6 +23,18 @@
       t.same(sent?.after, { term: 1, offset: 10 }, 'the replica gets the required position')
     })
 
+    suite.test('names of properties that every object has are names like any other', async (t) => {
+      const harness = createSessionHarness('bounded-staleness', source)
+      const session = harness.open()
+      for (const name of Object.getOwnPropertyNames(Object.prototype)) {
+        t.equal(promiseOf(await session.handle(name, { kind: 'execute', name, values: 'x' })), 'rejected', `${name} is not prepared`)
+        for (const statement of [{ kind: 'set', name, value: name }, { kind: 'prepare', name, access: 'read', shape: name }, { kind: 'execute', name, values: 'x' }, { kind: 'deallocate', name }] as const) {
+          t.equal(promiseOf(await session.handle(name, statement)), 'done', `${statement.kind} ${name}`)
+        }
+        t.equal(promiseOf(await session.handle(name, { kind: 'deallocate', name })), 'rejected', `${name} is deallocated`)
+      }
+    })
+
     suite.test('a position that is older than the allowed staleness is not used for a replica', async (t) => {
       const harness = createSessionHarness('bounded-staleness', source)
       const session = harness.open()
--- a/test/platform/statement-text.test.ts
+++ b/test/platform/statement-text.test.ts
@@ -18,6 +18,16 @@
   t.test(`'${text}' is not accepted from a caller`, async (t) => { t.equal(parseStatement(text), null) })
 }
 
+t.test('the name of a property of every object is no kind of access, but is a name of a value or prepared statement like any other', async (t) => {
+  for (const name of Object.getOwnPropertyNames(Object.prototype)) {
+    t.equal(parseStatement(`PREPARE s1 ${name} q2c`), null, name)
+    for (const text of [`PREPARE ${name} READ q2c`, `EXECUTE ${name} 1a4`, `DEALLOC ${name}`, `SET ${name} 1`]) {
+      const statement = parseStatement(text)
+      t.equal(statement === null ? null : formatStatement(statement, null), text)
+    }
+  }
+})
+
 t.test('a required position precedes the statement', async (t) => {
   t.equal(formatStatement({ kind: 'run', access: 'read', text: 'READ x' }, { term: 3, offset: 7 }), 'AFTER 3.7 READ x')
   t.equal(formatStatement({ kind: 'begin', readOnly: true }, { term: 3, offset: 7 }), 'AFTER 3.7 BEGIN READ')
--- a/test/platform/wire-words.test.ts
+++ b/test/platform/wire-words.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
-import { parseDatabaseError, formatRefusalCode } from '../../platform/wire-words.js'
+import { parseDatabaseError, formatRefusalCode, parseState } from '../../platform/wire-words.js'
 import { buildRefusalPromisingNothingKept } from '../../src/decisions/caller-sessions/session-services.js'
-import { buildLossRefusal, buildReplyRefusal } from '../../src/decisions/caller-sessions/statement-refusal.js'
+import { buildLossRefusal, buildReplyRefusal, hasNotRun } from '../../src/decisions/caller-sessions/statement-refusal.js'
 import { resultCodes } from '../../src/types/result-code.js'
 import type { ResultName } from '../../src/types/result-code.js'
 
@@ -27,3 +27,12 @@
 t.test('a transaction that can not have been committed is aborted', async (t) => {
   t.equal(formatRefusalCode(buildLossRefusal('lost', false)), 'ABORTED')
 })
+
+t.test('a code that is the name of a property of every object is unknown, so a write with that answer is not run again', async (t) => {
+  for (const code of Object.getOwnPropertyNames(Object.prototype)) {
+    t.equal(parseDatabaseError(code), 'unrecognized', code)
+    t.equal(formatRefusalCode(buildReplyRefusal(parseDatabaseError(code), '', true)), 'UNKNOWN', code)
+    t.notOk(hasNotRun(parseDatabaseError(code)), code)
+    t.equal(parseState(code), null, code)
+  }
+})
