sessions: a write that ran with an error counts as a write of its transaction

What callers could see: a write answered FAILED while its transaction stays open, then a COMMIT whose answer is lost: the caller was told that nothing is kept, though the commit may have kept the write (REFUSED, TWICE). Databases of today fail the transaction with the statement. Cause: only a write that was answered with success was remembered when the promise for a lost commit was chosen. Evidence: found by reading; the new test of caller-session.test.ts fails on the code before over own and over borrowed connections. Fix: a write is remembered unless the database said that it has not run.

--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -8,7 +8,7 @@
 import { buildDecisionDetails, recordFinishedOperation, releaseOrDiscard, MIN_RUN_MS, logRefusal, buildRequirements, recordDatabaseRefusal, recordReplyPosition, computeRemainingMs, rollBackAndRelease } from './session-context.js'
 import type { SessionGrant } from './session-services.js'
 import { buildRefusalPromisingNothingKept } from './session-services.js'
-import { RETRY_AFTER_MS, buildLossRefusal, buildReplyRefusal } from './statement-refusal.js'
+import { RETRY_AFTER_MS, buildLossRefusal, buildReplyRefusal, hasNotRun } from './statement-refusal.js'
 import { runStatement } from './statement-runner.js'
 
 /** Kind of a statement inside a transaction. */
@@ -168,13 +168,14 @@
     if (result.isErr()) return endWithRefusal(grant, id, kind, buildLossRefusal(result.error.message, canCommitWrite), acquired)
     const { reply, sentAt } = result.value
     recordReplyPosition(context, acquired, reply, sentAt, canCommitWrite)
+    // A write that ran with an error may have taken effect, and a later commit would keep it.
+    if (kind === 'write' && (reply.outcome.kind === 'done' || !hasNotRun(reply.outcome.error))) hasWritten = true
     if (reply.outcome.kind === 'error') {
       const { error, message } = reply.outcome
       if (reply.state === 'transaction' && kind !== 'commit') return toRefusedAnswer(buildReplyRefusal(error, message, false))
       if (reply.state === 'idle') releaseAfterDatabaseEnd()
       return endWithRefusal(grant, id, kind, buildReplyRefusal(error, message, canCommitWrite), acquired)
     }
-    if (kind === 'write') hasWritten = true
     if (kind === 'commit') {
       state = 'ended'
       releaseConnection(reply.state === 'idle')
--- a/test/decisions/caller-sessions/caller-session.test.ts
+++ b/test/decisions/caller-sessions/caller-session.test.ts
@@ -189,6 +189,15 @@
       }
     })
 
+    suite.test('a lost commit has an unknown outcome after a write that ran with an error and left the transaction open', async (t) => {
+      const harness = createSessionHarness('read-your-writes', source)
+      const session = harness.open()
+      harness.database('p').react = (request) => request.statement.kind === 'commit' ? 'lost' : request.id === '2' ? refusedReply('failed', 'transaction') : undefined
+      await session.handle('1', { kind: 'begin', readOnly: false })
+      t.equal(promiseOf(await session.handle('2', write)), 'ran')
+      t.equal(promiseOf(await session.handle('3', { kind: 'commit' })), 'unknown')
+    })
+
     suite.test('a failed transaction accepts only commit or rollback, and its commit is refused as rolled back', async (t) => {
       const harness = createSessionHarness('read-your-writes', source)
       const session = harness.open()
