wire: an answer larger than 8 MiB is discarded as it arrives

Cause: the rows of an answer were collected without a limit, joined to one text and written at once; the heap is limited to 160 MB. Evidence: the new test of database-wire.test.ts fails on the code before. Fix: beyond 8 MiB the rows are discarded until the answer ends, and the statement is refused as one that ran; no other database runs it, and nothing is promised. The connection and the transaction go on. What remains: the limit holds for one answer. Several large ones at once, and callers that don't read their answers, have no common limit.

--- a/src/decisions/caller-sessions/statement-refusal.ts
+++ b/src/decisions/caller-sessions/statement-refusal.ts
@@ -7,7 +7,7 @@
 
 /** @returns whether the error means that the statement has not run, so that another database may run it */
 export function hasNotRun (error: DatabaseErrorKind): boolean {
-  return error !== 'failed' && error !== 'timed-out' && error !== 'malformed' && error !== 'unrecognized'
+  return error !== 'failed' && error !== 'timed-out' && error !== 'answer-too-large' && error !== 'malformed' && error !== 'unrecognized'
 }
 
 /**
@@ -19,6 +19,7 @@
   switch (error) {
     case 'failed': return { result: 'databaseError', promise: 'ran', message, retryAfterMs: RETRY_AFTER_MS }
     case 'timed-out': return { result: 'deadlineExceeded', promise: 'unknown', message, retryAfterMs: RETRY_AFTER_MS }
+    case 'answer-too-large': return { result: 'databaseError', promise: 'ran', message, retryAfterMs: null }
     case 'malformed': return { result: 'malformedRequest', promise: 'rejected', message, retryAfterMs: null }
     case 'lagging': return buildRefusalPromisingNothingKept('noFreshReplica', message, RETRY_AFTER_MS)
     case 'read-only': return buildRefusalPromisingNothingKept('databaseRefused', message, RETRY_AFTER_MS)
--- a/src/types/database-session.ts
+++ b/src/types/database-session.ts
@@ -25,10 +25,11 @@
  * - `other-database`: another database has the address now
  * - `too-many-connections`: the database accepts no further connection
  * - `failed`, `timed-out`: the statement ran
+ * - `answer-too-large`: the statement ran, and its answer was discarded since this instance does not hold answers of that size
  * - `malformed`: the database could not parse the statement, or its transaction has failed
  * - `unrecognized`: the database answered with an unknown error code; the statement may have run
  */
-export type DatabaseErrorKind = 'not-sent' | 'busy' | 'unknown-statement' | 'lagging' | 'read-only' | 'other-database' | 'too-many-connections' | 'failed' | 'timed-out' | 'malformed' | 'unrecognized'
+export type DatabaseErrorKind = 'not-sent' | 'busy' | 'unknown-statement' | 'lagging' | 'read-only' | 'other-database' | 'too-many-connections' | 'failed' | 'timed-out' | 'answer-too-large' | 'malformed' | 'unrecognized'
 
 export interface DatabaseReply {
   rows: string[]
--- a/test/platform/database-wire.test.ts
+++ b/test/platform/database-wire.test.ts
@@ -1,5 +1,7 @@
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import t from 'tap'
-import { openWireSession, readWireStatus } from '../../platform/database-wire.js'
+import { MAX_ANSWER_BYTES, openWireSession, readWireStatus } from '../../platform/database-wire.js'
 import { address, databaseId, groupId, workspaceId } from '../../src/types/ids.js'
 import type { DatabaseSession } from '../../src/types/database-session.js'
 import type { WireDatabase } from '../../stand-ins/platform/wire-database.js'
@@ -94,6 +96,28 @@
   t.equal(opened._unsafeUnwrapErr().kind, 'unreachable')
 })
 
+t.test('the rows of an answer over the size limit are discarded, and the connection serves the next statement', { timeout: 30_000 }, async (t) => {
+  const row = 'x'.repeat(1000)
+  const rowCounts = [Math.ceil(MAX_ANSWER_BYTES / row.length), 2]
+  const server = createServer((socket) => {
+    let isOpened = false
+    socket.on('data', () => {
+      socket.write(isOpened ? `${`ROW ${row}\r\n`.repeat(rowCounts.shift() ?? 0)}DONE p\r\nREADY I 3.9\r\n` : 'READY I 3.9\r\n')
+      isOpened = true
+    })
+    socket.on('error', () => {})
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const opened = await openWireSession({ database: databaseId('d'), group: groupId('g'), address: address(`127.0.0.1:${(server.address() as AddressInfo).port}`), workspace: null }, OPEN_TIMEOUT_MS)
+  const session = opened._unsafeUnwrap()
+  const reply = (await session.run(readRequest))._unsafeUnwrap()
+  t.match(reply, { rows: [], outcome: { kind: 'error', error: 'answer-too-large' }, state: 'idle' })
+  t.equal(reply.rows.length, 0)
+  t.same((await session.run(readRequest))._unsafeUnwrap(), { rows: [row, row], outcome: { kind: 'done', proof: 'p' }, state: 'idle', position: { term: 3, offset: 9 } })
+  session.close()
+  server.close()
+})
+
 t.test('a status row is parsed into role, term, position and age', async (t) => {
   t.match(readWireStatus(databaseId('d'), ['replica 3 3.1209 0 12 2 17']), { role: 'replica', term: 3, position: { term: 3, offset: 1209 }, ageMs: 12 })
   t.equal(readWireStatus(databaseId('d'), []), null)
--- a/test/platform/wire-words.test.ts
+++ b/test/platform/wire-words.test.ts
@@ -24,6 +24,11 @@
   t.equal(formatRefusalCode(buildReplyRefusal('timed-out', '', true)), 'TIMEOUT')
 })
 
+t.test('a statement whose answer is too large has run, so no other database runs it and nothing is promised', async (t) => {
+  t.notOk(hasNotRun('answer-too-large'))
+  for (const canCommitWrite of [true, false]) t.equal(formatRefusalCode(buildReplyRefusal('answer-too-large', '', canCommitWrite)), 'FAILED')
+})
+
 t.test('a transaction that can not have been committed is aborted', async (t) => {
   t.equal(formatRefusalCode(buildLossRefusal('lost', false)), 'ABORTED')
 })
