--- a/test/platform/database-wire.test.ts
+++ b/test/platform/database-wire.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import t from 'tap'
 import { MAX_ANSWER_BYTES, openWireSession, readWireStatus } from '../../platform/database-wire.js'
+import { MAX_MESSAGE_BYTES } from '../../platform/line-reader.js'
 import { address, databaseId, groupId, workspaceId } from '../../src/types/ids.js'
 import type { DatabaseSession } from '../../src/types/database-session.js'
 import type { WireDatabase } from '../../stand-ins/platform/wire-database.js'
@@ -96,6 +97,19 @@
   t.equal(opened._unsafeUnwrapErr().kind, 'unreachable')
 })
 
+t.test('a message that would be over the size limit is refused and not sent, and the transaction goes on', async (t) => {
+  const database = await startWireDatabase('g', 'i-1')
+  t.teardown(database.close)
+  const session = await openSession(database)
+  t.equal((await session.run({ id: 'b', statement: { kind: 'begin', readOnly: true }, after: null }))._unsafeUnwrap().state, 'transaction')
+  const longest = { kind: 'run', access: 'read', text: `READ ${'x'.repeat(MAX_MESSAGE_BYTES - 'QUERY q READ '.length)}` } as const
+  t.match((await session.run({ id: 'q', statement: longest, after: { term: 3, offset: 1 } }))._unsafeUnwrap(), { rows: [], outcome: { kind: 'error', error: 'malformed' }, state: 'transaction' })
+  t.same(database.ran.map(({ id }) => id), ['b'])
+  t.equal((await session.run({ id: 'q', statement: longest, after: null }))._unsafeUnwrap().outcome.kind, 'done', 'without a required position it has the largest size')
+  t.same(database.ran.map(({ id }) => id), ['b', 'q'])
+  session.close()
+})
+
 t.test('the rows of an answer over the size limit are discarded, and the connection serves the next statement', { timeout: 30_000 }, async (t) => {
   const row = 'x'.repeat(1000)
   const rowCounts = [Math.ceil(MAX_ANSWER_BYTES / row.length), 2]
