--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -174,6 +174,7 @@
     if (result.isErr()) return endWithRefusal(grant, id, kind, buildLossRefusal(result.error.message, canCommitWrite), acquired)
     const { reply, sentAt } = result.value
     recordReplyPosition(context, acquired, reply, sentAt, canCommitWrite)
+    // A write that ran with an error may have taken effect, and a later commit would keep it.
     if (kind === 'write' && (reply.outcome.kind === 'done' || !hasNotRun(reply.outcome.error))) hasWritten = true
     if (reply.outcome.kind === 'error') {
       const { error, message } = reply.outcome
--- a/src/decisions/membership/announcement-check.ts
+++ b/src/decisions/membership/announcement-check.ts
@@ -6,8 +6,8 @@
 const MAX_ADDRESS_LENGTH = 259
 const MAX_PORT = 65_535
 
-/** Visible characters of Latin-1. Names are written into lines of Latin-1 text, in which blanks and control characters separate fields and messages. */
-const WIRE_NAME = /^[\u0021-\u007e\u00a1-\u00ff]+$/
+/** Text without blanks, control characters and unpaired surrogates. Names are fields of messages, which these would end or change. */
+const WIRE_NAME = /^[^\s\p{Cc}\p{Surrogate}]+$/u
 /** Text without control characters. A failure domain is only compared and logged. */
 const PRINTABLE = /^\P{Cc}+$/u
 const ADDRESS = /^[A-Za-z0-9._-]+:(\d{1,5})$/
