promotion: a replica that left as planned stays in the election until its log is held elsewhere

Cause: the registry dropped a database with its deregistration, and an election that wants the positions of all members did not know that the only log with the last acknowledged commits was about to return with a successor at the same address. The log dropped it too (`gone`), so no later leader could know either.

Change: the registry keeps ended databases until a later incarnation uses their name or address. Where commits wait for replicas, the end is recorded as a departure, which both versions know. It is recorded as `gone` once a replica has reached a position that the primary reported after the end, or after 10 s without a successor. An election waits as long. Meanwhile a database that answers as primary, such as one that has come back, is kept: it has every acknowledged commit. The index of group members no longer misses a database that replaces another one (the number of databases stays the same then): an election could end between the two.

A fleet of both versions agrees on the state: no command, field or rule of the log changed. A leader of the earlier version still records `gone` at once.

--- a/src/blackboard/control-instance-entries.ts
+++ b/src/blackboard/control-instance-entries.ts
@@ -53,6 +53,12 @@
   statusAt: Milliseconds
 }
 
+/** An incarnation of a database that has announced its end. */
+export interface EndedDatabase {
+  announcement: Announcement
+  endedAt: Milliseconds
+}
+
 /** Result of the last switchover or failover of a group. */
 export interface PrimaryChangeReport {
   planned: boolean
@@ -72,6 +78,8 @@
 export const registeredInstancesEntry = defineEntry<ReadonlyMap<InstanceId, RegisteredInstance>>('registered-instances', new Map())
 /** Written by `database-registry`. */
 export const registeredDatabasesEntry = defineEntry<ReadonlyMap<DatabaseId, RegisteredDatabase>>('registered-databases', new Map())
+/** Written by `database-registry`. Databases that have announced their end, until a later incarnation uses their name or address. */
+export const endedDatabasesEntry = defineEntry<ReadonlyMap<DatabaseId, EndedDatabase>>('ended-databases', new Map())
 /** Written by `database-weights`. */
 export const databaseWeightsEntry = defineEntry<ReadonlyMap<DatabaseId, number>>('database-weights', new Map())
 /** Written by `holder-placement`. */
--- a/src/control/database-announcements.ts
+++ b/src/control/database-announcements.ts
@@ -3,7 +3,8 @@
 import { classifyAnnouncement, buildRecordedAnnouncement } from '../decisions/membership/announcement-classification.js'
 import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
 import type { Announcement } from '../types/database-status.js'
-import type { DatabaseId } from '../types/ids.js'
+import type { DatabaseId, GroupId } from '../types/ids.js'
+import type { DatabaseRecord } from '../types/replicated-state.js'
 
 export interface DatabaseAnnouncementsOptions {
   log: ControlLog
@@ -28,12 +29,24 @@
 
 /** Creates the part of the coordinator that handles announcements of databases. */
 export function createDatabaseAnnouncements ({ log, isEstablished, apply }: DatabaseAnnouncementsOptions): DatabaseAnnouncements {
+  function waitsForReplicas (group: GroupId): boolean {
+    return (log.state().manifest?.groups.find(({ id }) => id === group)?.acknowledgingReplicas ?? 0) > 0
+  }
+
+  /**
+   * Where commits wait for replicas, the end of a database is recorded as a departure, so that a later leader still waits for its log.
+   * The promotion controller records the end once an election can do without that log.
+   */
+  function toProposedRecord (record: DatabaseRecord): DatabaseRecord {
+    return record.state === 'gone' && waitsForReplicas(record.group) ? { ...record, state: 'departing' } : record
+  }
+
   async function announce (announcement: Announcement): Promise<Result<'accepted' | 'ignored', ControlLogFailure>> {
     if (!isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
     const classification = classifyAnnouncement(log.state().databases, announcement)
     if (classification.kind === 'ignored') return ok('ignored')
     if (classification.kind === 'new') {
-      const recorded = await log.propose({ kind: 'record-database', database: classification.record })
+      const recorded = await log.propose({ kind: 'record-database', database: toProposedRecord(classification.record) })
       if (recorded.isErr()) return err(recorded.error)
     }
     if (isEstablished()) apply(classification.announcement)
--- a/src/control/failover-effects.ts
+++ b/src/control/failover-effects.ts
@@ -5,6 +5,7 @@
 import type { DatabaseFailure, DatabaseOrders } from '../types/database-connection.js'
 import type { DatabaseStatus } from '../types/database-status.js'
 import type { LogEvent } from '../types/log-event.js'
+import type { DatabaseRecord } from '../types/replicated-state.js'
 
 /** Executes one order, at the database itself or through the platform that runs it. */
 export type ExecuteOrder = (order: SentOrder) => Promise<Result<DatabaseStatus, DatabaseFailure>>
@@ -35,11 +36,19 @@
     }, () => handleOutcome({ kind: 'proposal-failed', leaderTerm, command, failure: { kind: 'unknown' } }))
   }
 
+  function startRecord (database: DatabaseRecord): void {
+    const handleFailure = (reason: string): void => logEvent('databaseRecordFailed', { database: database.database, state: database.state, reason })
+    log.propose({ kind: 'record-database', database }).then((result) => {
+      if (result.isErr()) handleFailure(result.error.kind)
+    }, (error: unknown) => handleFailure(String(error)))
+  }
+
   return (effects) => {
     for (const effect of effects) {
       switch (effect.kind) {
         case 'order': startOrder(effect.order); break
         case 'propose': startProposal(effect.leaderTerm, effect.command); break
+        case 'record': startRecord(effect.database); break
         case 'log': logEvent(effect.name, effect.details); break
       }
     }
--- a/src/decisions/failover/failover-message.ts
+++ b/src/decisions/failover/failover-message.ts
@@ -4,7 +4,7 @@
 import type { Directory } from '../../types/directory.js'
 import type { Address, DatabaseId, GroupId } from '../../types/ids.js'
 import type { LogDetails, LogEventName } from '../../types/log-event.js'
-import type { Command, CommandAnswer } from '../../types/replicated-state.js'
+import type { Command, CommandAnswer, DatabaseRecord } from '../../types/replicated-state.js'
 
 export type GroupCommand = Extract<Command, { kind: 'begin-election' | 'set-primary' }>
 
@@ -42,4 +42,6 @@
 export type FailoverEffect =
   | { kind: 'order', order: SentOrder }
   | { kind: 'propose', leaderTerm: number, command: GroupCommand }
+  /** Proposes a record of a database. The controller reads the outcome from the replicated state. */
+  | { kind: 'record', database: DatabaseRecord }
   | { kind: 'log', name: LogEventName, details: LogDetails }
--- a/src/decisions/failover/group-views.ts
+++ b/src/decisions/failover/group-views.ts
@@ -39,8 +39,9 @@
     const leadership = sources.leadership.read()
     const replicated = replicatedGroups().get(group)
     if (leadership === null || replicated === undefined) return undefined
-    // A replacement of one database by another leaves the count unchanged. The index contains the new one after the next call of `groups`.
-    if (indexedDatabaseCount !== sources.databases.read().size) groups()
+    // A replacement of one database by another leaves the count unchanged. An election must not miss the new one, which may have the log of the old one.
+    const isReplaced = (members.get(group) ?? []).some((database) => !sources.databases.read().has(database))
+    if (isReplaced || indexedDatabaseCount !== sources.databases.read().size) groups()
     return {
       now: sources.clock.now(),
       leadership,
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../../blackboard/blackboard.js'
-import { registeredDatabasesEntry } from '../../blackboard/control-instance-entries.js'
-import type { RegisteredDatabase } from '../../blackboard/control-instance-entries.js'
+import { endedDatabasesEntry, registeredDatabasesEntry } from '../../blackboard/control-instance-entries.js'
+import type { EndedDatabase, RegisteredDatabase } from '../../blackboard/control-instance-entries.js'
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import { milliseconds } from '../../types/clock.js'
 import type { DatabaseObservation } from '../../types/control-message.js'
@@ -14,6 +14,8 @@
 export const INCARNATION_HOLD_MS = 3000
 /** A departing database without a status for this time is removed. */
 export const DEPARTED_EXPIRY_MS = 10_000
+/** An ended database is forgotten after this time; several times as long as an election waits for its successor. */
+const ENDED_EXPIRY_MS = 60_000
 
 export interface DatabaseRegistryOptions {
   blackboard: Blackboard
@@ -46,14 +48,17 @@
   reset: () => void
 }
 
-/** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entry `registeredDatabasesEntry`. */
+/** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entries `registeredDatabasesEntry` and `endedDatabasesEntry`. */
 export function createDatabaseRegistry (options: DatabaseRegistryOptions): DatabaseRegistry {
   const { blackboard, clock } = options
   const entry = blackboard.claim(registeredDatabasesEntry, 'database-registry')
+  const endedEntry = blackboard.claim(endedDatabasesEntry, 'database-registry')
   const retiredIncarnations = createRetiredIncarnations<DatabaseId>()
   const lastDepartingAt = new Map<DatabaseId, Milliseconds>()
   let databases = new Map<DatabaseId, RegisteredDatabase>()
+  let endedDatabases = new Map<DatabaseId, EndedDatabase>()
   entry.write(databases)
+  endedEntry.write(endedDatabases)
 
   /** Whether a status of this incarnation counts. A new incarnation retires the one known so far. */
   function acceptIncarnation (known: RegisteredDatabase | undefined, status: DatabaseStatus): boolean {
@@ -87,7 +92,9 @@
     const known = databases.get(database)
     const last = known?.announcement.run
     if (last !== undefined && (run.startedAt < last.startedAt || (run.startedAt === last.startedAt && run.sequence <= last.sequence))) return 'ignored'
+    if (isEndedBefore(database, run)) return 'ignored'
     if (run.gone) {
+      endedDatabases.set(database, { announcement, endedAt: receivedAt })
       databases.delete(database)
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
@@ -102,10 +109,15 @@
 
   /** Removes databases of another name and an earlier incarnation at the same address: the announcing database has replaced them. */
   function removeReplacedDatabases ({ database, address }: Announcement, run: DatabaseIncarnation): void {
-    for (const [other, { announcement }] of databases) {
-      const isEarlier = announcement.run !== undefined && announcement.run.startedAt < run.startedAt
-      if (other !== database && announcement.address === address && isEarlier) databases.delete(other)
-    }
+    const isReplaced = ({ announcement }: Pick<RegisteredDatabase, 'announcement'>): boolean =>
+      announcement.address === address && announcement.run !== undefined && announcement.run.startedAt < run.startedAt
+    for (const [other, known] of databases) if (other !== database && isReplaced(known)) databases.delete(other)
+    for (const [other, ended] of endedDatabases) if (other === database || isReplaced(ended)) endedDatabases.delete(other)
+  }
+
+  function isEndedBefore (database: DatabaseId, { startedAt }: DatabaseIncarnation): boolean {
+    const ended = endedDatabases.get(database)?.announcement.run
+    return ended !== undefined && startedAt <= ended.startedAt
   }
 
   function updateStatus (status: DatabaseStatus, statusAt: Milliseconds): void {
@@ -125,13 +137,16 @@
     const departed = [...databases.values()].filter(({ departing, statusAt }) => departing && statusAt < oldest).map(({ announcement }) => announcement.database)
     for (const database of departed) databases.delete(database)
     if (departed.length > 0) entry.write(databases)
+    for (const [database, { endedAt }] of endedDatabases) if (clock.now() - endedAt >= ENDED_EXPIRY_MS) endedDatabases.delete(database)
     return departed
   }
 
   function reset (): void {
     databases = new Map()
+    endedDatabases = new Map()
     lastDepartingAt.clear()
     entry.write(databases)
+    endedEntry.write(endedDatabases)
   }
 
   return { announce, observe, answered: (status) => updateStatus(status, clock.now()), tick, reset }
--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -5,6 +5,7 @@
 import { compareLogPositions, isAtOrPast } from '../../types/log-position.js'
 import { findMember } from '../failover/group-view.js'
 import type { GroupMember } from '../failover/group-view.js'
+import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
 import { assessPrimary } from './primary-evidence.js'
@@ -60,6 +61,7 @@
   if (replicated.primary === null) return startGroup(context)
   if (record.serving === null || view.members.length === 0) return
   liftFences(context)
+  checkHoldings(context)
   const primary = findMember(view, replicated.primary)
   const isKnownLongEnough = view.now - Math.max(record.serving.since, view.leadership.since) >= times.primarySilentMs
   if (primary === undefined) {
@@ -226,16 +228,19 @@
 
 function selectElectionTarget (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
   const { view, record, times, waitsForReplicas } = context
+  // Every commit that the former primary acknowledged is in the log of a replica.
+  const endedReplicas = context.endedDatabases.filter(({ announcement }) => announcement.database !== step.plan.oldPrimary)
   const queriedMembers = view.members.filter((member) => !isLostPrimary(step, member))
   const candidates = queriedMembers.flatMap((member): Candidate[] => {
     const known = record.statuses.get(member.database)
     return known !== undefined && known.requestedAt >= releasedAt ? [{ member, known }] : []
   })
-  if (candidates.length === 0) return undefined
-  step.answeredAt ??= view.now
   const isComplete = candidates.length === queriedMembers.length
+  const isLogMissing = !isComplete || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
   // The replica whose position is missing may be the only one with the last acknowledged commit.
-  if (!isComplete && waitsForReplicas && step.plan.oldTerm > 0) return undefined
+  if (isLogMissing && waitsForReplicas && step.plan.oldTerm > 0) return findLeadingDatabase(context, step, releasedAt)
+  if (candidates.length === 0) return undefined
+  step.answeredAt ??= view.now
   if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
   const hasNewestHistory = candidates.some(({ known }) => known.status.term >= record.historyTerm)
   // Only databases that lack the newest promotion have answered. The others get time to answer, but the group must not stay without a primary.
@@ -243,10 +248,23 @@
   if (fenceReceivingReplicas(context, step, candidates, releasedAt)) return undefined
   const chosen = chooseCandidate(candidates, step.plan, waitsForReplicas)
   if (chosen === undefined) return undefined
+  if (endedReplicas.length > 0) context.effects.push({ kind: 'log', name: 'electionIncomplete', details: { group: view.group, term: step.term, chosen, missing: endedReplicas.map(({ announcement }) => announcement.database).join(' ') } })
   context.effects.push({ kind: 'log', name: 'candidateChosen', details: { group: view.group, term: step.term, chosen, historyTerm: record.historyTerm, candidates: candidates.map(describeCandidate).join(', ') } })
   return chosen
 }
 
+/**
+ * Finds the database that leads the newest promotion, for an election that lacks positions. It has every acknowledged commit, also as a
+ * primary that has come back, because no other database has been promoted since. The others get time to answer, longer if it is the
+ * primary that the election is to replace.
+ */
+function findLeadingDatabase ({ view, record, times }: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
+  const leading = view.members.flatMap(({ database }) => record.statuses.get(database) ?? []).find(({ status, requestedAt }) =>
+    requestedAt >= releasedAt && status.role === 'primary' && status.term >= record.historyTerm)?.status.database
+  const waitMs = leading === step.plan.oldPrimary ? times.promotionTimeoutMs : times.candidateWaitMs
+  return view.now - releasedAt < waitMs ? undefined : leading
+}
+
 function describeCandidate ({ member, known: { status } }: Candidate): string {
   return `${member.database} ${status.role} of promotion ${status.term} at ${status.position.term}.${status.position.offset}`
 }
--- a/src/decisions/promotion/promotion-context.ts
+++ b/src/decisions/promotion/promotion-context.ts
@@ -1,3 +1,6 @@
+import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
+import type { DatabaseId } from '../../types/ids.js'
+import type { DatabaseRecord } from '../../types/replicated-state.js'
 import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
 import type { GroupMember, GroupView } from '../failover/group-view.js'
 import type { PromotionTimes } from './promotion-options.js'
@@ -10,6 +13,10 @@
   times: PromotionTimes
   /** Whether the databases of the group acknowledge a commit only after a replica has received it. */
   waitsForReplicas: boolean
+  /** Databases of the group that have ended and whose log no other database is known to hold. Empty where commits wait for no replica. */
+  endedDatabases: readonly EndedDatabase[]
+  /** @returns the record of a database in the replicated log */
+  findRecord: (database: DatabaseId) => DatabaseRecord | undefined
   effects: FailoverEffect[]
 }
 
--- a/src/decisions/promotion/promotion-controller.ts
+++ b/src/decisions/promotion/promotion-controller.ts
@@ -1,10 +1,12 @@
 import {
-  databaseWeightsEntry, connectionHoldersEntry, leadershipEntry, primaryChangesEntry, publishedDirectoryEntry, registeredDatabasesEntry,
+  databaseWeightsEntry, connectionHoldersEntry, endedDatabasesEntry, leadershipEntry, primaryChangesEntry, publishedDirectoryEntry, registeredDatabasesEntry,
   registeredInstancesEntry, replicatedStateEntry, switchingGroupsEntry
 } from '../../blackboard/control-instance-entries.js'
+import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
 import type { Milliseconds } from '../../types/clock.js'
 import type { Directory, DirectoryGroup } from '../../types/directory.js'
-import type { GroupId } from '../../types/ids.js'
+import type { DatabaseId, GroupId } from '../../types/ids.js'
+import type { DatabaseRecord } from '../../types/replicated-state.js'
 import type { FailoverController } from '../failover/failover-controller.js'
 import type { FailoverEffect, FailoverMessage, GroupCommand, SentOrder } from '../failover/failover-message.js'
 import type { GroupView } from '../failover/group-view.js'
@@ -36,6 +38,7 @@
   const leadership = blackboard.reader(leadershipEntry)
   const state = blackboard.reader(replicatedStateEntry)
   const publishedDirectory = blackboard.reader(publishedDirectoryEntry)
+  const ended = blackboard.reader(endedDatabasesEntry)
   const views = createGroupViews({
     clock,
     leadership,
@@ -66,7 +69,8 @@
       nextSwitchoverAt: farPast,
       membersKnownSince: null,
       primaryQueriedAt: farPast,
-      fencedDatabases: new Map()
+      fencedDatabases: new Map(),
+      holdingCheck: null
     }
     // An earlier leader may have lost its leadership before it lifted the fences of its last election.
     if (waitsForReplicas(group)) for (const { database } of view.members) if (database !== replicated.primary) record.fencedDatabases.set(database, farPast)
@@ -77,7 +81,25 @@
   function createContext (group: GroupId, effects: FailoverEffect[]): PromotionContext | undefined {
     const view = views.viewOf(group)
     if (view === undefined || publishedDirectory.read() === null) return undefined
-    return { view, record: findOrCreateRecord(group, view), times, waitsForReplicas: waitsForReplicas(group), effects }
+    return { view, record: findOrCreateRecord(group, view), times, waitsForReplicas: waitsForReplicas(group), endedDatabases: findEndedDatabases(group), findRecord, effects }
+  }
+
+  function findRecord (database: DatabaseId): DatabaseRecord | undefined {
+    return state.read().databases.find((known) => known.database === database)
+  }
+
+  /**
+   * The log drops the record of a database when it records a successor at the same address. The ended database counts until the registry
+   * knows that successor too, so that no election runs without either.
+   * @returns databases whose end is not recorded, because their logs may be needed
+   */
+  function findEndedDatabases (group: GroupId): EndedDatabase[] {
+    if (!waitsForReplicas(group)) return []
+    return [...ended.read().values()].filter(({ announcement }) => {
+      if (announcement.group !== group) return false
+      const known = findRecord(announcement.database)
+      return known?.startedAt !== announcement.run?.startedAt || known?.state !== 'gone'
+    })
   }
 
   function waitsForReplicas (group: GroupId): boolean {
--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -10,9 +10,9 @@
   primarySilentMs: number
   /** An order without an answer is sent again after this time. Default 500. */
   orderRetryMs: number
-  /** How long an election waits for the positions of further databases after the first one has answered. Where commits wait for replicas, each election after the first one of the group waits for all positions instead. Default 250. */
+  /** How long an election waits for the positions of further databases after the first one has answered. Where commits wait for replicas, each election after the first one of the group waits for all positions instead, and this long before it accepts a database that leads already. Default 250. */
   candidateWaitMs: number
-  /** A new election replaces an accepted promotion that has had no effect for this long. Default 4000. */
+  /** A new election replaces an accepted promotion that has had no effect for this long. An election that lacks positions keeps the former primary, if that one answers as primary, after the same time. Default 4000. */
   promotionTimeoutMs: number
   /** Shortest time between the starts of two elections of a group. Default 300. */
   minElectionIntervalMs: number
@@ -20,6 +20,8 @@
   switchoverTimeoutMs: number
   /** Interval between the position queries of a switchover. Default 60. */
   positionQueryIntervalMs: number
+  /** Where commits wait for replicas, an election waits this long after the end of a database for a successor that has its log. Default 10000: a successor starts within a few seconds. */
+  endedWaitMs: number
   /** How long the first start of a group waits for a running primary to announce itself. Default 4000. */
   firstStartWaitMs: number
 }
@@ -42,6 +44,7 @@
     switchoverTimeoutMs: 1500,
     positionQueryIntervalMs: 60,
     firstStartWaitMs: 4000,
+    endedWaitMs: 10_000,
     ...settings
   }
 }
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -2,6 +2,7 @@
 import type { DatabaseStatus } from '../../types/database-status.js'
 import type { DirectoryVersion } from '../../types/directory.js'
 import type { DatabaseId } from '../../types/ids.js'
+import type { LogPosition } from '../../types/log-position.js'
 
 /**
  * - `first`: the group had no primary yet
@@ -48,6 +49,18 @@
   /** The database is primary. The leader proposes `set-primary` until the replicated log names it. */
   | { kind: 'recording', term: number, plan: PromotionPlan, database: DatabaseId }
 
+/**
+ * Search for a replica that holds everything that databases which have ended can hold: their logs go no further than the position of the
+ * primary after their end.
+ */
+export interface HoldingCheck {
+  /** End of the latest of these databases, or start of the service if it is later. */
+  since: Milliseconds
+  /** First position that the primary reported after `since`. */
+  primaryPosition: LogPosition | null
+  queriedAt: Milliseconds
+}
+
 /** State of one group that the controller keeps during one leadership. */
 export interface PromotionRecord {
   step: PromotionStep
@@ -66,4 +79,6 @@
   primaryQueriedAt: Milliseconds
   /** Databases that an election may have fenced, and when each last got a fence or unfence order. */
   fencedDatabases: Map<DatabaseId, Milliseconds>
+  /** Null while no log of an ended database is missing. */
+  holdingCheck: HoldingCheck | null
 }
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -52,6 +52,8 @@
   switchoverEnded: { event: 407, name: 'switchover-ended', level: 'info', meaning: 'A planned change of primary ended.' },
   databaseRoleChanged: { event: 410, name: 'database-role-changed', level: 'info', meaning: 'A database announced a different role.' },
   announcementUnreadable: { event: 411, name: 'announcement-unreadable', level: 'warn', meaning: 'An announcement could not be parsed or comes from another kind of sender; no database is registered from it.' },
+  databaseRecordFailed: { event: 414, name: 'database-record-failed', level: 'warn', meaning: 'The control log did not confirm a record of a database; the control leader proposes it again while it is needed.' },
+  electionIncomplete: { event: 415, name: 'election-incomplete', level: 'warn', meaning: 'A database was chosen as primary without the positions of others that have been gone for too long; acknowledged commits that only these have are lost.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
