promotion: a departed replica that goes on receiving is not counted as ended

A database whose deregistration is not confirmed goes on receiving for some seconds. A commit could be acknowledged by it alone after another replica had caught up with its supposed end; a crash of the primary then lost the commit.

Cause: the search for a replica that holds everything of an ended database began with its deregistration, not with its end.

Change: the ended database is asked for its status first. The search begins once it gives no answer; an answer, also a refusal such as BUSY or too many connections, is a sign of life.

'a failure tells a busy database from one that does not answer, because only the latter may have ended' (test/platform/promotion-orders.test.ts) is new.

--- a/src/decisions/promotion/holding-check.ts
+++ b/src/decisions/promotion/holding-check.ts
@@ -1,3 +1,4 @@
+import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
 import type { Milliseconds } from '../../types/clock.js'
 import { isAtOrPast } from '../../types/log-position.js'
 import type { PromotionContext } from './promotion-context.js'
@@ -14,18 +15,26 @@
     record.holdingCheck = null
     return
   }
-  const since = Math.max(record.serving?.since ?? view.now, ...endedDatabases.map(({ endedAt }) => endedAt)) as Milliseconds
-  if (record.holdingCheck === null || record.holdingCheck.since < since) record.holdingCheck = { since, primaryPosition: null, queriedAt: -Infinity as Milliseconds }
+  const since = Math.max(record.serving?.since ?? view.now, ...endedDatabases.map((ended) => findLastSign(context, ended))) as Milliseconds
+  if (record.holdingCheck === null || record.holdingCheck.since < since) record.holdingCheck = { since, unreachableAt: null, primaryPosition: null, queriedAt: -Infinity as Milliseconds }
   const check = record.holdingCheck
   if (view.now - check.queriedAt < times.orderRetryMs) return
   check.queriedAt = view.now
-  recordEnds(context, isHeldByReplica(context, check))
-  for (const member of view.members) addOrder(context, member, { kind: 'status' })
+  const areUnreachable = endedDatabases.every(({ announcement }) => (record.unreachableAt.get(announcement.database) ?? -Infinity) > since)
+  if (areUnreachable) check.unreachableAt ??= view.now
+  recordEnds(context, check.unreachableAt !== null && isHeldByReplica(context, check, check.unreachableAt))
+  const ended = endedDatabases.map(({ announcement: { database, address } }) => ({ database, address }))
+  for (const queried of check.unreachableAt === null ? ended : view.members) addOrder(context, queried, { kind: 'status' })
 }
 
-function isHeldByReplica ({ view, record }: PromotionContext, check: HoldingCheck): boolean {
+/** @returns when an ended database last gave a sign of life */
+function findLastSign ({ record }: PromotionContext, { announcement, endedAt }: EndedDatabase): number {
+  return Math.max(endedAt, record.statuses.get(announcement.database)?.requestedAt ?? -Infinity)
+}
+
+function isHeldByReplica ({ view, record }: PromotionContext, check: HoldingCheck, unreachableAt: Milliseconds): boolean {
   const { primary } = view.replicated
-  const statuses = view.members.flatMap(({ database }) => record.statuses.get(database) ?? []).filter(({ requestedAt }) => requestedAt >= check.since)
+  const statuses = view.members.flatMap(({ database }) => record.statuses.get(database) ?? []).filter(({ requestedAt }) => requestedAt >= unreachableAt)
   const leading = statuses.find(({ status }) => status.database === primary && status.role === 'primary')?.status
   if (leading === undefined) return false
   check.primaryPosition ??= leading.position
--- a/src/decisions/promotion/promotion-context.ts
+++ b/src/decisions/promotion/promotion-context.ts
@@ -24,7 +24,7 @@
 export type Step<Kind extends PromotionStep['kind']> = Extract<PromotionStep, { kind: Kind }>
 
 /** Appends an order for one database to the effects. */
-export function addOrder ({ view, effects }: PromotionContext, member: GroupMember, action: DatabaseAction): void {
+export function addOrder ({ view, effects }: PromotionContext, member: Pick<GroupMember, 'database' | 'address'>, action: DatabaseAction): void {
   effects.push({ kind: 'order', order: { group: view.group, database: member.database, address: member.address, leaderTerm: view.leadership.term, sentAt: view.now, action } })
 }
 
--- a/src/decisions/promotion/promotion-controller.ts
+++ b/src/decisions/promotion/promotion-controller.ts
@@ -63,6 +63,7 @@
       statuses: new Map(),
       historyTerm: 0,
       queryFailedAt: new Map(),
+      unreachableAt: new Map(),
       serving: isServing ? { term: replicated.term, since: view.leadership.since } : null,
       isProposing: false,
       nextElectionAt: farPast,
@@ -174,6 +175,7 @@
       case 'order-failed': return applyOrderResult(message.order, ({ record, effects }) => {
         const { action, database } = message.order
         if (action.kind === 'status') record.queryFailedAt.set(database, clock.now())
+        if (action.kind === 'status' && message.failure.sqlState === null) record.unreachableAt.set(database, clock.now())
         const { step } = record
         const isRefused = message.failure.sqlState === PROMOTION_REFUSED
         if (action.kind === 'promote' && isRefused && step.kind === 'promoting' && step.term === action.term) step.refused = true
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -51,12 +51,14 @@
 
 /**
  * Search for a replica that holds everything that databases which have ended can hold: their logs go no further than the position of the
- * primary after their end.
+ * primary after their end. A database whose deregistration was not confirmed goes on receiving for some seconds.
  */
 export interface HoldingCheck {
-  /** End of the latest of these databases, or start of the service if it is later. */
+  /** Last sign of life of these databases, or start of the service if it is later. */
   since: Milliseconds
-  /** First position that the primary reported after `since`. */
+  /** When none of these databases answered any more; null before. */
+  unreachableAt: Milliseconds | null
+  /** First position that the primary reported after `unreachableAt`. */
   primaryPosition: LogPosition | null
   queriedAt: Milliseconds
 }
@@ -70,6 +72,8 @@
   historyTerm: number
   /** When the last failed status query of each database failed. */
   queryFailedAt: Map<DatabaseId, Milliseconds>
+  /** When the last status query of each database that got no answer at all failed. */
+  unreachableAt: Map<DatabaseId, Milliseconds>
   /** The term in service, and since when this leader has seen the group serve under it. */
   serving: { term: number, since: Milliseconds } | null
   isProposing: boolean
--- a/test/control/promotion-with-synchronous-replicas.test.ts
+++ b/test/control/promotion-with-synchronous-replicas.test.ts
@@ -59,6 +59,24 @@
   t.equal(deployment.servingPrimary(), 's')
 })
 
+t.test('a departed replica that goes on receiving counts as a holder of commits until it has ended', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.drain('r')
+  await deployment.runUntil(7000)
+  deployment.depart('r', 4000)
+  await deployment.runUntil(9500)
+  deployment.find('s').isDeaf = true
+  await deployment.runUntil(10_800)
+  deployment.crash('p')
+  await deployment.runUntil(15_000)
+  t.same(deployment.promotions, [], 's lacks commits that r received after it had announced its end')
+  deployment.succeed('r', 'r-next')
+  await deployment.runUntil(18_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 'r-next')
+})
+
 t.test('a primary that comes back is used while the position of a departed replica is missing', async (t) => {
   const deployment = await replaceReplicaBesideDeafOne()
   await deployment.runUntil(13_000)
--- a/test/platform/promotion-orders.test.ts
+++ b/test/platform/promotion-orders.test.ts
@@ -31,3 +31,14 @@
   })
   t.match(await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address(replica.address), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } }), { value: { role: 'replica' } })
 })
+
+t.test('a failure tells a busy database from one that does not answer, because only the latter may have ended', async (t) => {
+  const sendTo = async (kind: 'busy' | 'too-many-connections' | 'other-database' | 'unreachable') => {
+    const sendOrder = createPromotionOrders({ instance: instanceId('control-1'), authority: '127.0.0.1:1', open: async () => err({ kind, message: kind }), readStatus: readWireStatus })
+    return await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address('127.0.0.1:1'), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } })
+  }
+  t.match(await sendTo('busy'), { error: { sqlState: '57P03' } })
+  t.match(await sendTo('too-many-connections'), { error: { sqlState: '53300' } })
+  t.match(await sendTo('other-database'), { error: { sqlState: null } })
+  t.match(await sendTo('unreachable'), { error: { sqlState: null } })
+})
