promotion: a leader that starts during an election knows which primary it replaces

Cause: `begin-election` drops the primary from the log. Only the leader that began the election knew whose position it could do without; the next one waited for the position of the lost database.

Change: before `begin-election`, the leader records the primary that the election replaces, with the term (`replacedIn`, an optional field of a database record). A later leader leaves out the position of the database whose record names exactly the unfinished term, and records it for its own term. Whatever the cause of the election, the primary that it replaces is not waited for: each acknowledged commit is in the log of a replica, and replicas are fenced first.

An election that a leader of the earlier version began names no primary, and no position is left out.

--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -13,7 +13,8 @@
   failureDomain: name,
   startedAt: z.number(),
   role: z.enum(['primary', 'replica']),
-  state: z.enum(['ready', 'departing', 'gone'])
+  state: z.enum(['ready', 'departing', 'gone']),
+  replacedIn: count.optional()
 })
 
 const command = z.discriminatedUnion('kind', [
--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -5,13 +5,14 @@
 import { compareLogPositions, isAtOrPast } from '../../types/log-position.js'
 import { findMember } from '../failover/group-view.js'
 import type { GroupMember } from '../failover/group-view.js'
-import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
+import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { assessPrimary } from './primary-evidence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isLostPrimary, addOrder } from './promotion-context.js'
+import { isDispensable, isLostPrimary, addOrder } from './promotion-context.js'
 import type { KnownStatus, PromotionPlan, PromotionRecord, StopDirectory } from './promotion-step.js'
+import { findReplacedPrimary, recordReplacement } from './replaced-primary.js'
 import { orderFence, computeFenceTerm, liftFences, needsFence, fenceReceivingReplicas } from './replica-fences.js'
 
 /** Advances the primary election or switchover of a group until it has to wait for an answer, a report or a time. */
@@ -47,11 +48,11 @@
   if (record.serving?.term !== replicated.term) record.serving = { term: replicated.term, since: now }
 }
 
-function buildPlan ({ view, record }: PromotionContext, cause: PromotionPlan['cause']): PromotionPlan {
-  const { replicated } = view
+function buildPlan (context: PromotionContext, cause: PromotionPlan['cause']): PromotionPlan {
+  const { view: { replicated, now }, record } = context
   // During an unfinished election, instances can use a primary only under earlier terms. Releasing the newest of these covers all.
   const oldTerm = replicated.phase === 'serving' ? replicated.term : Math.max(record.serving?.term ?? 0, replicated.term - 1)
-  return { cause, oldTerm, oldPrimary: replicated.primary, preferredTarget: null, startedAt: view.now }
+  return { cause, oldTerm, oldPrimary: replicated.primary ?? findReplacedPrimary(context), preferredTarget: null, startedAt: now }
 }
 
 function advanceIdle (context: PromotionContext): void {
@@ -187,6 +188,7 @@
   if (view.now < record.nextElectionAt || record.isProposing) return
   record.nextElectionAt = addTime(view.now, times.minElectionIntervalMs)
   const term = view.replicated.term + 1
+  recordReplacement(context, plan, term)
   record.step = { kind: 'beginning', term, plan }
   record.isProposing = true
   context.effects.push({ kind: 'propose', leaderTerm: view.leadership.term, command: { kind: 'begin-election', group: view.group, term } })
@@ -236,7 +238,8 @@
     return known !== undefined && known.requestedAt >= releasedAt ? [{ member, known }] : []
   })
   const isComplete = candidates.length === queriedMembers.length
-  const isLogMissing = !isComplete || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
+  const isPositionMissing = queriedMembers.some((member) => !isDispensable(step, member) && !candidates.some((candidate) => candidate.member === member))
+  const isLogMissing = isPositionMissing || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
   // The replica whose position is missing may be the only one with the last acknowledged commit.
   if (isLogMissing && waitsForReplicas && step.plan.oldTerm > 0) return findLeadingDatabase(context, step, releasedAt)
   if (candidates.length === 0) return undefined
--- a/src/decisions/promotion/holding-check.ts
+++ b/src/decisions/promotion/holding-check.ts
@@ -45,7 +45,7 @@
 
 function recordEnds (context: PromotionContext, isHeld: boolean): void {
   for (const ended of context.endedDatabases) {
-    const known = context.findRecord(ended.announcement.database)
+    const known = context.findRecord(({ database }) => database === ended.announcement.database)
     if (known !== undefined && (isHeld || !isSuccessorExpected(context, ended.endedAt))) context.effects.push({ kind: 'record', database: { ...known, state: 'gone' } })
   }
 }
--- a/src/decisions/promotion/promotion-context.ts
+++ b/src/decisions/promotion/promotion-context.ts
@@ -1,5 +1,4 @@
 import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
-import type { DatabaseId } from '../../types/ids.js'
 import type { DatabaseRecord } from '../../types/replicated-state.js'
 import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
 import type { GroupMember, GroupView } from '../failover/group-view.js'
@@ -15,8 +14,8 @@
   waitsForReplicas: boolean
   /** Databases of the group that have ended and whose log no other database is known to hold. Empty where commits wait for no replica. */
   endedDatabases: readonly EndedDatabase[]
-  /** @returns the record of a database in the replicated log */
-  findRecord: (database: DatabaseId) => DatabaseRecord | undefined
+  /** @returns the first record of a database in the replicated log that matches */
+  findRecord: (matches: (known: DatabaseRecord) => boolean) => DatabaseRecord | undefined
   effects: FailoverEffect[]
 }
 
@@ -32,3 +31,11 @@
 export function isLostPrimary ({ plan }: Step<'electing'>, { database }: GroupMember): boolean {
   return plan.cause === 'lost' && database === plan.oldPrimary
 }
+
+/**
+ * Whether the election can do without the position of a database, where commits wait for replicas. Every commit that the former primary
+ * acknowledged is in the log of a replica.
+ */
+export function isDispensable ({ plan }: Step<'electing'>, { database }: GroupMember): boolean {
+  return database === plan.oldPrimary
+}
--- a/src/decisions/promotion/promotion-controller.ts
+++ b/src/decisions/promotion/promotion-controller.ts
@@ -5,7 +5,7 @@
 import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
 import type { Milliseconds } from '../../types/clock.js'
 import type { Directory, DirectoryGroup } from '../../types/directory.js'
-import type { DatabaseId, GroupId } from '../../types/ids.js'
+import type { GroupId } from '../../types/ids.js'
 import type { DatabaseRecord } from '../../types/replicated-state.js'
 import type { FailoverController } from '../failover/failover-controller.js'
 import type { FailoverEffect, FailoverMessage, GroupCommand, SentOrder } from '../failover/failover-message.js'
@@ -85,8 +85,8 @@
     return { view, record: findOrCreateRecord(group, view), times, waitsForReplicas: waitsForReplicas(group), endedDatabases: findEndedDatabases(group), findRecord, effects }
   }
 
-  function findRecord (database: DatabaseId): DatabaseRecord | undefined {
-    return state.read().databases.find((known) => known.database === database)
+  function findRecord (matches: (known: DatabaseRecord) => boolean): DatabaseRecord | undefined {
+    return state.read().databases.find(matches)
   }
 
   /**
@@ -98,7 +98,7 @@
     if (!waitsForReplicas(group)) return []
     return [...ended.read().values()].filter(({ announcement }) => {
       if (announcement.group !== group) return false
-      const known = findRecord(announcement.database)
+      const known = findRecord(({ database }) => database === announcement.database)
       return known?.startedAt !== announcement.run?.startedAt || known?.state !== 'gone'
     })
   }
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -40,6 +40,8 @@
   role: 'primary' | 'replica'
   /** `gone`: the database announced its end. */
   state: 'ready' | 'departing' | 'gone'
+  /** Where commits wait for replicas: term of the election that replaces this database as primary and does not need its position. */
+  replacedIn?: number
 }
 
 /** State that every control member derives from the replicated log. */
--- a/test/control/promotion-with-synchronous-replicas.test.ts
+++ b/test/control/promotion-with-synchronous-replicas.test.ts
@@ -1,7 +1,9 @@
 // Guards against promotions that drop acknowledged commits, and against groups without a primary, where commits wait for a replica.
 // A commit rests on the log of any one replica, so a replica that leaves takes acknowledged commits with it unless another one has them.
 import t from 'tap'
+import { groupId } from '../../src/types/ids.js'
 import { createPromotionDeployment } from './fixtures/promotion-deployment.js'
+import type { PromotionDeployment } from './fixtures/promotion-deployment.js'
 
 /** One replica is replaced as planned while the other receives nothing. The primary crashes after the departure. */
 async function replaceReplicaBesideDeafOne () {
@@ -85,3 +87,82 @@
   t.same(deployment.violations, [])
   t.equal(deployment.servingPrimary(), 'p')
 })
+
+/** Time in which no control instance runs. */
+const DOWN_MS = 600
+const LOSS_AT_MS = 6000
+
+/**
+ * Plays an incident and restarts all control instances after one step of the promotion that follows it.
+ * @param restartAfter - number of the step: an order that was sent or answered, or a command that was committed
+ * @returns the deployment and the step, or null if the promotion has fewer steps
+ */
+async function playWithRestart (restartAfter: number, begin: (deployment: PromotionDeployment) => void) {
+  const steps: string[] = []
+  let isCounting = false
+  const deployment: PromotionDeployment = createPromotionDeployment((step) => {
+    if (!isCounting || steps.push(step) !== restartAfter) return
+    deployment.stopControl()
+    deployment.after(DOWN_MS, deployment.restartControl)
+  })
+  await deployment.runUntil(LOSS_AT_MS)
+  isCounting = true
+  begin(deployment)
+  await deployment.runUntil(LOSS_AT_MS + 14_000)
+  const step = steps[restartAfter - 1]
+  return step === undefined ? null : { deployment, step: `step ${restartAfter}, ${step}` }
+}
+
+/** Longest promotion of these tests, in steps. */
+const MAX_STEPS = 60
+
+const incidents: { name: string, begin: (deployment: PromotionDeployment) => void }[] = [
+  { name: 'the primary is lost for good', begin: ({ crash }) => { crash('p') } },
+  {
+    name: 'the primary is replaced as planned and ends',
+    begin: ({ drain, depart, after }) => {
+      drain('p')
+      after(7000, () => depart('p'))
+    }
+  },
+  {
+    name: 'a departing primary is lost for good',
+    begin: ({ drain, crash, after }) => {
+      drain('p')
+      after(100, () => crash('p'))
+    }
+  }
+]
+for (const { name, begin } of incidents) {
+  t.test(`a group gets a primary again when all control instances restart at any step of a promotion: ${name}`, async (t) => {
+    let count = 0
+    for (; count < MAX_STEPS; count++) {
+      const played = await playWithRestart(count + 1, begin)
+      if (played === null) break
+      const { deployment, step } = played
+      t.same(deployment.violations, [], step)
+      t.match(deployment.servingPrimary(), /^[rs]$/, step)
+    }
+    t.ok(count >= 10, `${count} steps`)
+  })
+}
+
+t.test('an unfinished election that a leader of an earlier version left does not say which primary it replaces', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.find('s').isDeaf = true
+  deployment.crash('p')
+  await deployment.runUntil(12_000)
+  t.equal(deployment.servingPrimary(), 'r')
+  t.match(deployment.recordOf('p'), { replacedIn: 2 })
+  deployment.stopControl()
+  deployment.commit({ kind: 'begin-election', group: groupId('g'), term: 3 })
+  deployment.crash('r')
+  deployment.restartControl()
+  await deployment.runUntil(20_000)
+  t.same(deployment.promotions, ['r'], 's lacks the commits of r')
+  deployment.revive('r')
+  await deployment.runUntil(27_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 'r')
+})
