promotion: a replica that is lost for good does not keep a group without a primary for ever

Where commits wait for replicas, callers got BUSY for ever once a replica had been lost for good and the primary was lost too, at any later time: a crashed database never leaves the group, and each election waited for its position.

Evidence: 'a replica that has been gone for long does not keep a group without a primary for ever' and 'a promoted primary can be replaced as soon as a replica has what it was promoted with' (test/control/promotion-with-synchronous-replicas.test.ts) failed before: no primary.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -10,7 +10,7 @@
 import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { assessPrimary } from './primary-evidence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isDispensable, isLostPrimary, addOrder } from './promotion-context.js'
+import { isAbsent, isLostPrimary, isPositionNeeded, addOrder } from './promotion-context.js'
 import type { KnownStatus, PromotionPlan, PromotionRecord, StopDirectory } from './promotion-step.js'
 import { findReplacedPrimary, recordReplacement } from './replaced-primary.js'
 import { orderFence, computeFenceTerm, liftFences, needsFence, fenceReceivingReplicas } from './replica-fences.js'
@@ -238,7 +238,7 @@
     return known !== undefined && known.requestedAt >= releasedAt ? [{ member, known }] : []
   })
   const isComplete = candidates.length === queriedMembers.length
-  const isPositionMissing = queriedMembers.some((member) => !isDispensable(step, member) && !candidates.some((candidate) => candidate.member === member))
+  const isPositionMissing = queriedMembers.some((member) => isPositionNeeded(context, step, member) && !candidates.some((candidate) => candidate.member === member))
   const isLogMissing = isPositionMissing || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
   // The replica whose position is missing may be the only one with the last acknowledged commit.
   if (isLogMissing && waitsForReplicas && step.plan.oldTerm > 0) return findLeadingDatabase(context, step, releasedAt)
@@ -251,7 +251,8 @@
   if (fenceReceivingReplicas(context, step, candidates, releasedAt)) return undefined
   const chosen = chooseCandidate(candidates, step.plan, waitsForReplicas)
   if (chosen === undefined) return undefined
-  if (endedReplicas.length > 0) context.effects.push({ kind: 'log', name: 'electionIncomplete', details: { group: view.group, term: step.term, chosen, missing: endedReplicas.map(({ announcement }) => announcement.database).join(' ') } })
+  const missing = [...endedReplicas.map(({ announcement }) => announcement.database), ...queriedMembers.filter((member) => waitsForReplicas && isAbsent(context, member)).map(({ database }) => database)]
+  if (missing.length > 0) context.effects.push({ kind: 'log', name: 'electionIncomplete', details: { group: view.group, term: step.term, chosen, missing: missing.join(' ') } })
   context.effects.push({ kind: 'log', name: 'candidateChosen', details: { group: view.group, term: step.term, chosen, historyTerm: record.historyTerm, candidates: candidates.map(describeCandidate).join(', ') } })
   return chosen
 }
--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -22,6 +22,11 @@
   positionQueryIntervalMs: number
   /** Where commits wait for replicas, an election waits this long after the end of a database for a successor that has its log. Default 10000: a successor starts within a few seconds. */
   endedWaitMs: number
+  /**
+   * Where commits wait for replicas, an election waits for the position of a database that has given no sign for less than this time.
+   * Default 20000: more than twice the longest outage of a database that came back, 9 s.
+   */
+  absentWaitMs: number
   /** How long the first start of a group waits for a running primary to announce itself. Default 4000. */
   firstStartWaitMs: number
 }
@@ -45,6 +50,7 @@
     positionQueryIntervalMs: 60,
     firstStartWaitMs: 4000,
     endedWaitMs: 10_000,
+    absentWaitMs: 20_000,
     ...settings
   }
 }
--- a/src/decisions/promotion/replica-fences.ts
+++ b/src/decisions/promotion/replica-fences.ts
@@ -3,7 +3,7 @@
 import type { GroupMember } from '../failover/group-view.js'
 import type { Candidate } from './choose-candidate.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isDispensable, addOrder } from './promotion-context.js'
+import { isPositionNeeded, addOrder } from './promotion-context.js'
 
 /**
  * Sends the first fence order of an election to each candidate that may still receive from the former primary. The election itself
@@ -24,9 +24,10 @@
  * positions are comparable only once no replica receives.
  * @returns a term above the newest promotion; null while a status that the election needs is missing, or if no fence is needed
  */
-export function computeFenceTerm ({ view, record, waitsForReplicas }: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): number | null {
+export function computeFenceTerm (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): number | null {
+  const { view, record, waitsForReplicas } = context
   if (!waitsForReplicas || step.plan.oldTerm === 0) return null
-  const statuses = view.members.filter((member) => !isDispensable(step, member)).map(({ database }) => record.statuses.get(database))
+  const statuses = view.members.filter((member) => isPositionNeeded(context, step, member)).map(({ database }) => record.statuses.get(database))
   if (statuses.some((known) => known === undefined || known.requestedAt < releasedAt)) return null
   return Math.max(record.historyTerm, ...statuses.map((known) => known?.status.term ?? 0)) + 1
 }
--- a/test/control/promotion-with-synchronous-replicas.test.ts
+++ b/test/control/promotion-with-synchronous-replicas.test.ts
@@ -166,3 +166,67 @@
   t.same(deployment.violations, [])
   t.equal(deployment.servingPrimary(), 'r')
 })
+
+t.test('a replica that has been gone for long does not keep a group without a primary for ever', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.crash('r')
+  await deployment.runUntil(8000)
+  deployment.crash('p')
+  await deployment.runUntil(24_000)
+  t.same(deployment.promotions, [], 'r may come back with commits that s lacks')
+  await deployment.runUntil(32_000)
+  t.equal(deployment.servingPrimary(), 's')
+})
+
+/** The primary crashes while s receives nothing, so that r is promoted with commits that no other database has, and ends at once. */
+async function loseSoleHolder () {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.find('s').isDeaf = true
+  await deployment.runUntil(8000)
+  deployment.crash('p')
+  for (let at = 8020; deployment.servingPrimary() !== 'r' && at < 16_000; at += 20) await deployment.runUntil(at)
+  deployment.crash('r')
+  return deployment
+}
+
+t.test('a primary that is the only one with the commits of its predecessor is not replaced before another replica has them', async (t) => {
+  const deployment = await loseSoleHolder()
+  const lostAt = deployment.clock.now()
+  await deployment.runUntil(lostAt + 8000)
+  t.same(deployment.promotions, ['r'], 's lacks acknowledged commits')
+  deployment.revive('r')
+  await deployment.runUntil(lostAt + 16_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 'r')
+})
+
+t.test('a leader that starts after the loss of such a primary does not replace it either', async (t) => {
+  const deployment = await loseSoleHolder()
+  const lostAt = deployment.clock.now()
+  await deployment.runUntil(lostAt + 200)
+  deployment.restartControl()
+  await deployment.runUntil(lostAt + 8000)
+  t.same(deployment.promotions, ['r'])
+  deployment.revive('r')
+  await deployment.runUntil(lostAt + 16_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 'r')
+})
+
+t.test('a promoted primary can be replaced as soon as a replica has what it was promoted with', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.find('s').isDeaf = true
+  await deployment.runUntil(8000)
+  deployment.crash('p')
+  await deployment.runUntil(14_000)
+  t.equal(deployment.servingPrimary(), 'r')
+  deployment.find('s').isDeaf = false
+  await deployment.runUntil(17_000)
+  deployment.crash('r')
+  await deployment.runUntil(34_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 's')
+})
