--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -14,7 +14,8 @@
   startedAt: z.number(),
   role: z.enum(['primary', 'replica']),
   state: z.enum(['ready', 'departing', 'gone']),
-  unconfirmed: z.literal(true).optional()
+  unconfirmed: z.literal(true).optional(),
+  replacedIn: count.optional()
 })
 
 const command = z.discriminatedUnion('kind', [
--- a/src/control/coordinator.ts
+++ b/src/control/coordinator.ts
@@ -87,6 +87,7 @@
     logEvent,
     announcementIntervalMs,
     isRunning: isDatabaseRunning,
+    hasEnded: databases.hasEnded,
     isEstablished: isLeadershipEstablished,
     apply: (announcement, superseded) => { handleAnnouncement(announcement, 0, superseded) }
   })
--- a/src/control/database-announcements.ts
+++ b/src/control/database-announcements.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../types/clock.js'
 import type { ControlLog, ControlLogFailure } from '../types/control-log.js'
 import type { Announcement } from '../types/database-status.js'
-import type { DatabaseId } from '../types/ids.js'
+import type { DatabaseId, GroupId } from '../types/ids.js'
 import type { LogEvent } from '../types/log-event.js'
 import type { DatabaseRecord, SupersededRecord } from '../types/replicated-state.js'
 
@@ -24,6 +24,8 @@
   announcementIntervalMs: number
   /** @returns whether a recorded database runs, in spite of a claim to its id or address */
   isRunning: (record: DatabaseRecord, claim: Announcement) => boolean
+  /** @returns whether the incarnation that announces itself has announced its end to this leader */
+  hasEnded: (announcement: Announcement) => boolean
   /** @returns whether this member leads and has applied everything that earlier leaders committed */
   isEstablished: () => boolean
   /** Applies an announcement that the classification did not reject, in place of the databases in `superseded`. */
@@ -50,14 +52,27 @@
 
 /** Creates the part of the coordinator that handles announcements of databases. */
 export function createDatabaseAnnouncements (options: DatabaseAnnouncementsOptions): DatabaseAnnouncements {
-  const { clock, log, logEvent, announcementIntervalMs, isEstablished, isRunning, apply } = options
+  const { clock, log, logEvent, announcementIntervalMs, isEstablished, isRunning, hasEnded, apply } = options
   const continuedReports = createContinuedReports({ clock, announcementIntervalMs })
   /** Claim that was logged last for each database. */
   const loggedClaims = new Map<DatabaseId, number>()
 
+  function waitsForReplicas (group: GroupId): boolean {
+    return (log.state().manifest?.groups.find(({ id }) => id === group)?.acknowledgingReplicas ?? 0) > 0
+  }
+
+  /**
+   * Where commits wait for replicas, the end of a database is recorded as a departure, so that a later leader still waits for its log.
+   * The promotion controller records the end once an election can do without that log.
+   */
+  function toProposedRecord (record: DatabaseRecord): DatabaseRecord {
+    return record.state === 'gone' && waitsForReplicas(record.group) ? { ...record, state: 'departing' } : record
+  }
+
   async function announce (announcement: Announcement): Promise<Result<AnnouncementResult, ControlLogFailure>> {
     if (!isEstablished()) return err({ kind: 'not-leader', leaderAddress: log.leaderAddress() })
     if (isUnusable(announcement)) return ok('unreadable')
+    if (hasEnded(announcement)) return ok('ignored')
     const { databases, manifest } = log.state()
     const { run } = announcement
     const classification = classifyAnnouncement(databases, announcement, {
@@ -72,7 +87,7 @@
       return ok('accepted')
     }
     const { record, superseded } = classification
-    const recorded = await log.propose({ kind: 'record-database', database: record, superseded: superseded.map(({ database, startedAt }) => ({ database, startedAt })) })
+    const recorded = await log.propose({ kind: 'record-database', database: toProposedRecord(record), superseded: superseded.map(({ database, startedAt }) => ({ database, startedAt })) })
     if (recorded.isErr()) return err(recorded.error)
     for (const { database, startedAt } of superseded) {
       if (startedAt > record.startedAt) logEvent('databaseReinstated', { database: record.database, group: record.group, replaced: database })
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from '../../blackboard/blackboard.js'
-import { registeredDatabasesEntry } from '../../blackboard/control-instance-entries.js'
-import type { RegisteredDatabase } from '../../blackboard/control-instance-entries.js'
+import { endedDatabasesEntry, registeredDatabasesEntry } from '../../blackboard/control-instance-entries.js'
+import type { EndedDatabase, RegisteredDatabase } from '../../blackboard/control-instance-entries.js'
 import type { Clock, Milliseconds } from '../../types/clock.js'
 import { milliseconds } from '../../types/clock.js'
 import type { DatabaseObservation } from '../../types/control-message.js'
@@ -16,6 +16,8 @@
 export const INCARNATION_HOLD_MS = 3000
 /** A departing database without a status for this time is removed. */
 export const DEPARTED_EXPIRY_MS = 10_000
+/** An ended database is forgotten after this time; several times as long as an election waits for its successor. */
+const ENDED_EXPIRY_MS = 60_000
 
 /**
  * Announcement intervals after which a database is removed that has announced itself once and never answered, as an entry of another writer
@@ -48,6 +50,8 @@
    * @returns what changed
    */
   announce: (announcement: Announcement, ageMs?: number, superseded?: readonly SupersededRecord[]) => AnnouncementOutcome
+  /** @returns whether the incarnation that announces itself has announced its end before */
+  hasEnded: (announcement: Announcement) => boolean
   /** Handles the status of a database that a connection holder reported. */
   observe: (observation: DatabaseObservation) => void
   /** Handles the status in the answer of a database to an order. */
@@ -60,15 +64,18 @@
   reset: () => void
 }
 
-/** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entry `registeredDatabasesEntry`. */
+/** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entries `registeredDatabasesEntry` and `endedDatabasesEntry`. */
 export function createDatabaseRegistry (options: DatabaseRegistryOptions): DatabaseRegistry {
   const { blackboard, clock, announcementIntervalMs = DEFAULT_ANNOUNCEMENT_INTERVAL_MS } = options
   const entry = blackboard.claim(registeredDatabasesEntry, 'database-registry')
+  const endedEntry = blackboard.claim(endedDatabasesEntry, 'database-registry')
   const retiredIncarnations = createRetiredIncarnations<DatabaseId>()
   const continuedReports = createContinuedReports({ clock, announcementIntervalMs })
   const lastDepartingAt = new Map<DatabaseId, Milliseconds>()
   let databases = new Map<DatabaseId, RegisteredDatabase>()
+  let endedDatabases = new Map<DatabaseId, EndedDatabase>()
   entry.write(databases)
+  endedEntry.write(endedDatabases)
 
   /** Whether a status of this incarnation counts. A new incarnation retires the one known so far. */
   function acceptIncarnation (known: RegisteredDatabase | undefined, status: DatabaseStatus): boolean {
@@ -103,13 +110,16 @@
     const known = databases.get(database)
     const last = known?.announcement.run
     if (last !== undefined && run.startedAt < last.startedAt) return 'ignored'
+    if (isEndedBefore(database, run)) return 'ignored'
     const isLate = last?.startedAt === run.startedAt && run.sequence <= last.sequence
     if (isLate && !run.gone && !isSequenceWrong(known, announcement, run)) return handleLateAnnouncement(known, announcement)
     if (run.gone) {
+      endedDatabases.set(database, { announcement, endedAt: receivedAt })
       databases.delete(database)
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
     }
+    forgetReplacedDatabases(announcement, run)
     const isConfirmed = run.sequence < 0 || last?.startedAt === run.startedAt
     databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt, ...(isConfirmed ? {} : { isUnconfirmed: true }) })
     entry.write(databases)
@@ -118,6 +128,14 @@
     return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
   }
 
+  /** Forgets databases that have ended, once a later incarnation has their name or address. */
+  function forgetReplacedDatabases ({ database, address }: Announcement, run: DatabaseIncarnation): void {
+    for (const [other, { announcement }] of endedDatabases) {
+      const isReplaced = announcement.address === address && announcement.run !== undefined && announcement.run.startedAt < run.startedAt
+      if (other === database || isReplaced) endedDatabases.delete(other)
+    }
+  }
+
   /**
    * Whether the highest sequence that is known of the incarnation is wrong, such as one of another writer: whoever sent it is silent, and
    * the incarnation goes on announcing itself with lower ones.
@@ -138,9 +156,15 @@
   function removeSuperseded (superseded: readonly SupersededRecord[]): void {
     for (const { database, startedAt } of superseded) {
       if (databases.get(database)?.announcement.run?.startedAt === startedAt) databases.delete(database)
+      if (endedDatabases.get(database)?.announcement.run?.startedAt === startedAt) endedDatabases.delete(database)
     }
   }
 
+  function isEndedBefore (database: DatabaseId, { startedAt }: DatabaseIncarnation): boolean {
+    const ended = endedDatabases.get(database)?.announcement.run
+    return ended !== undefined && startedAt <= ended.startedAt
+  }
+
   function updateStatus (status: DatabaseStatus, statusAt: Milliseconds): void {
     const known = databases.get(status.database)
     if (known === undefined || statusAt < known.statusAt || !acceptIncarnation(known, status)) return
@@ -180,17 +204,28 @@
     const departed = [...databases.values()].filter(({ departing, statusAt }) => departing && statusAt < oldest).map(({ announcement }) => announcement.database)
     for (const database of departed) databases.delete(database)
     if (departed.length > 0) entry.write(databases)
+    for (const [database, { endedAt }] of endedDatabases) if (clock.now() - endedAt >= ENDED_EXPIRY_MS) endedDatabases.delete(database)
     return departed
   }
 
   function reset (): void {
     databases = new Map()
+    endedDatabases = new Map()
     lastDepartingAt.clear()
     continuedReports.reset()
     entry.write(databases)
+    endedEntry.write(endedDatabases)
   }
 
-  return { announce, observe, answered, removeUnconfirmed, tick, reset }
+  return {
+    announce,
+    hasEnded: ({ database, run }) => run !== undefined && endedDatabases.get(database)?.announcement.run?.startedAt === run.startedAt,
+    observe,
+    answered,
+    removeUnconfirmed,
+    tick,
+    reset
+  }
 }
 
 function determineOutcome (known: RegisteredDatabase | undefined, announcement: Announcement, departing: boolean): AnnouncementOutcome {
--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -7,10 +7,12 @@
 import type { GroupMember } from '../failover/group-view.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
+import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { assessPrimary } from './primary-evidence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isLostPrimary, addOrder } from './promotion-context.js'
+import { isAbsent, isLostPrimary, isPositionNeeded, addOrder } from './promotion-context.js'
 import type { KnownStatus, PromotionPlan, PromotionRecord, StopDirectory } from './promotion-step.js'
+import { findReplacedPrimary, recordReplacement } from './replaced-primary.js'
 import { orderFence, computeFenceTerm, liftFences, needsFence, fenceReceivingReplicas } from './replica-fences.js'
 
 /** Advances the primary election or switchover of a group until it has to wait for an answer, a report or a time. */
@@ -46,11 +48,11 @@
   if (record.serving?.term !== replicated.term) record.serving = { term: replicated.term, since: now }
 }
 
-function buildPlan ({ view, record }: PromotionContext, cause: PromotionPlan['cause']): PromotionPlan {
-  const { replicated } = view
+function buildPlan (context: PromotionContext, cause: PromotionPlan['cause']): PromotionPlan {
+  const { view: { replicated, now }, record } = context
   // During an unfinished election, instances can use a primary only under earlier terms. Releasing the newest of these covers all.
   const oldTerm = replicated.phase === 'serving' ? replicated.term : Math.max(record.serving?.term ?? 0, replicated.term - 1)
-  return { cause, oldTerm, oldPrimary: replicated.primary, preferredTarget: null, startedAt: view.now }
+  return { cause, oldTerm, oldPrimary: replicated.primary ?? findReplacedPrimary(context), preferredTarget: null, startedAt: now }
 }
 
 function advanceIdle (context: PromotionContext): void {
@@ -60,6 +62,7 @@
   if (replicated.primary === null) return startGroup(context)
   if (record.serving === null || view.members.length === 0) return
   liftFences(context)
+  checkHoldings(context)
   const primary = findMember(view, replicated.primary)
   const isKnownLongEnough = view.now - Math.max(record.serving.since, view.leadership.since) >= times.primarySilentMs
   if (primary === undefined) {
@@ -185,6 +188,7 @@
   if (view.now < record.nextElectionAt || record.isProposing) return
   record.nextElectionAt = addTime(view.now, times.minElectionIntervalMs)
   const term = view.replicated.term + 1
+  recordReplacement(context, plan, term)
   record.step = { kind: 'beginning', term, plan }
   record.isProposing = true
   context.effects.push({ kind: 'propose', leaderTerm: view.leadership.term, command: { kind: 'begin-election', group: view.group, term } })
@@ -226,16 +230,20 @@
 
 function selectElectionTarget (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
   const { view, record, times, waitsForReplicas } = context
+  // Every commit that the former primary acknowledged is in the log of a replica.
+  const endedReplicas = context.endedDatabases.filter(({ announcement }) => announcement.database !== step.plan.oldPrimary)
   const queriedMembers = view.members.filter((member) => !isLostPrimary(step, member))
   const candidates = queriedMembers.flatMap((member): Candidate[] => {
     const known = record.statuses.get(member.database)
     return known !== undefined && known.requestedAt >= releasedAt ? [{ member, known }] : []
   })
-  if (candidates.length === 0) return undefined
-  step.answeredAt ??= view.now
   const isComplete = candidates.length === queriedMembers.length
+  const isPositionMissing = queriedMembers.some((member) => isPositionNeeded(context, step, member) && !candidates.some((candidate) => candidate.member === member))
+  const isLogMissing = isPositionMissing || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
   // The replica whose position is missing may be the only one with the last acknowledged commit.
-  if (!isComplete && waitsForReplicas && step.plan.oldTerm > 0) return undefined
+  if (isLogMissing && waitsForReplicas && step.plan.oldTerm > 0) return findLeadingDatabase(context, step, releasedAt)
+  if (candidates.length === 0) return undefined
+  step.answeredAt ??= view.now
   if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
   const hasNewestHistory = candidates.some(({ known }) => known.status.term >= record.historyTerm)
   // Only databases that lack the newest promotion have answered. The others get time to answer, but the group must not stay without a primary.
@@ -243,10 +251,24 @@
   if (fenceReceivingReplicas(context, step, candidates, releasedAt)) return undefined
   const chosen = chooseCandidate(candidates, step.plan, waitsForReplicas)
   if (chosen === undefined) return undefined
+  const missing = [...endedReplicas.map(({ announcement }) => announcement.database), ...queriedMembers.filter((member) => waitsForReplicas && isAbsent(context, member)).map(({ database }) => database)]
+  if (missing.length > 0) context.effects.push({ kind: 'log', name: 'electionIncomplete', details: { group: view.group, term: step.term, chosen, missing: missing.join(' ') } })
   context.effects.push({ kind: 'log', name: 'candidateChosen', details: { group: view.group, term: step.term, chosen, historyTerm: record.historyTerm, candidates: candidates.map(describeCandidate).join(', ') } })
   return chosen
 }
 
+/**
+ * Finds the database that leads the newest promotion, for an election that lacks positions. It has every acknowledged commit, also as a
+ * primary that has come back, because no other database has been promoted since. The others get time to answer, longer if it is the
+ * primary that the election is to replace.
+ */
+function findLeadingDatabase ({ view, record, times }: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): DatabaseId | undefined {
+  const leading = view.members.flatMap(({ database }) => record.statuses.get(database) ?? []).find(({ status, requestedAt }) =>
+    requestedAt >= releasedAt && status.role === 'primary' && status.term >= record.historyTerm)?.status.database
+  const waitMs = leading === step.plan.oldPrimary ? times.promotionTimeoutMs : times.candidateWaitMs
+  return view.now - releasedAt < waitMs ? undefined : leading
+}
+
 function describeCandidate ({ member, known: { status } }: Candidate): string {
   return `${member.database} ${status.role} of promotion ${status.term} at ${status.position.term}.${status.position.offset}`
 }
--- a/src/decisions/promotion/promotion-context.ts
+++ b/src/decisions/promotion/promotion-context.ts
@@ -1,3 +1,5 @@
+import type { EndedDatabase } from '../../blackboard/control-instance-entries.js'
+import type { DatabaseRecord } from '../../types/replicated-state.js'
 import type { DatabaseAction, FailoverEffect } from '../failover/failover-message.js'
 import type { GroupMember, GroupView } from '../failover/group-view.js'
 import type { PromotionTimes } from './promotion-options.js'
@@ -10,6 +12,10 @@
   times: PromotionTimes
   /** Whether the databases of the group acknowledge a commit only after a replica has received it. */
   waitsForReplicas: boolean
+  /** Databases of the group that have ended and whose log no other database is known to hold. Empty where commits wait for no replica. */
+  endedDatabases: readonly EndedDatabase[]
+  /** @returns the first record of a database in the replicated log that matches */
+  findRecord: (matches: (known: DatabaseRecord) => boolean) => DatabaseRecord | undefined
   effects: FailoverEffect[]
 }
 
@@ -17,7 +23,7 @@
 export type Step<Kind extends PromotionStep['kind']> = Extract<PromotionStep, { kind: Kind }>
 
 /** Appends an order for one database to the effects. */
-export function addOrder ({ view, effects }: PromotionContext, member: GroupMember, action: DatabaseAction): void {
+export function addOrder ({ view, effects }: PromotionContext, member: Pick<GroupMember, 'database' | 'address'>, action: DatabaseAction): void {
   effects.push({ kind: 'order', order: { group: view.group, database: member.database, address: member.address, leaderTerm: view.leadership.term, sentAt: view.now, action } })
 }
 
@@ -25,3 +31,18 @@
 export function isLostPrimary ({ plan }: Step<'electing'>, { database }: GroupMember): boolean {
   return plan.cause === 'lost' && database === plan.oldPrimary
 }
+
+/**
+ * Whether an election needs the position of a database, where commits wait for replicas. Every commit that the former primary acknowledged
+ * is in the log of a replica. A database that has been absent for too long counts as lost for good.
+ */
+export function isPositionNeeded (context: PromotionContext, { plan }: Step<'electing'>, member: GroupMember): boolean {
+  return member.database !== plan.oldPrimary && !isAbsent(context, member)
+}
+
+/** @returns whether a database has given no sign for `absentWaitMs` and does not answer */
+export function isAbsent ({ view, record, times }: PromotionContext, { database, registered }: GroupMember): boolean {
+  const answeredAt = record.statuses.get(database)?.requestedAt ?? -Infinity
+  const lastSignAt = Math.max(registered.announcedAt, registered.statusAt, answeredAt)
+  return view.now - lastSignAt >= times.absentWaitMs && (record.unreachableAt.get(database) ?? -Infinity) > lastSignAt
+}
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -2,6 +2,7 @@
 import type { DatabaseStatus } from '../../types/database-status.js'
 import type { DirectoryVersion } from '../../types/directory.js'
 import type { DatabaseId } from '../../types/ids.js'
+import type { LogPosition } from '../../types/log-position.js'
 
 /**
  * - `first`: the group had no primary yet
@@ -48,6 +49,20 @@
   /** The database is primary. The leader proposes `set-primary` until the replicated log names it. */
   | { kind: 'recording', term: number, plan: PromotionPlan, database: DatabaseId }
 
+/**
+ * Search for a replica that holds everything that databases which have ended can hold: their logs go no further than the position of the
+ * primary after their end. A database whose deregistration was not confirmed goes on receiving for some seconds.
+ */
+export interface HoldingCheck {
+  /** Last sign of life of these databases, or start of the service if it is later. */
+  since: Milliseconds
+  /** When none of these databases answered any more; null before. */
+  unreachableAt: Milliseconds | null
+  /** First position that the primary reported after `unreachableAt`. */
+  primaryPosition: LogPosition | null
+  queriedAt: Milliseconds
+}
+
 /** State of one group that the controller keeps during one leadership. */
 export interface PromotionRecord {
   step: PromotionStep
@@ -57,6 +72,8 @@
   historyTerm: number
   /** When the last failed status query of each database failed. */
   queryFailedAt: Map<DatabaseId, Milliseconds>
+  /** When the last status query of each database that got no answer at all failed. */
+  unreachableAt: Map<DatabaseId, Milliseconds>
   /** The term in service, and since when this leader has seen the group serve under it. */
   serving: { term: number, since: Milliseconds } | null
   isProposing: boolean
@@ -66,4 +83,6 @@
   primaryQueriedAt: Milliseconds
   /** Databases that an election may have fenced, and when each last got a fence or unfence order. */
   fencedDatabases: Map<DatabaseId, Milliseconds>
+  /** Null while no log of an ended database is missing. */
+  holdingCheck: HoldingCheck | null
 }
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -57,6 +57,8 @@
   announcementHeld: { event: 414, name: 'announcement-held', level: 'warn', meaning: 'An announcement claims the id or address of a database that still runs; it is neither recorded nor acknowledged until that one is silent.' },
   databaseReinstated: { event: 415, name: 'database-reinstated', level: 'warn', meaning: 'A database that goes on announcing itself replaced a record with a later start, whose sender is silent.' },
   databaseUnconfirmed: { event: 416, name: 'database-unconfirmed', level: 'warn', meaning: 'A database announced itself once only and never answered; it is not used before it announces itself again.' },
+  databaseRecordFailed: { event: 417, name: 'database-record-failed', level: 'warn', meaning: 'The control log did not confirm a record of a database; the control leader proposes it again while it is needed.' },
+  electionIncomplete: { event: 418, name: 'election-incomplete', level: 'warn', meaning: 'A database was chosen as primary without the positions of others that have been gone for too long; acknowledged commits that only these have are lost.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -46,6 +46,8 @@
   state: 'ready' | 'departing' | 'gone'
   /** The incarnation announced itself once only, and nothing has answered at its address since. No leader uses it before it announces itself again. */
   unconfirmed?: true
+  /** Where commits wait for replicas: term of the election that replaces this database as primary and does not need its position. */
+  replacedIn?: number
 }
 
 /** Names the record of one incarnation. */
