soak: check statements that planned stops cut

Cause: the soak compared writes, runs and rates, and did not notice that a statement which an instance took around a planned stop got no answer.

Change: each statement records when and where it was sent, and how it ended; the stand-in databases record when each statement was received and finished; the fleet records its SIGTERMs. `--planned` stops entry instances as the platform does, in series or overlapping, with SIGKILL after 6 s, and nothing unplanned. An EXECUTE is compared by the kind and shape that were prepared, since instances may rename prepared statements.

--- a/soak/check-promises.ts
+++ b/soak/check-promises.ts
@@ -1,4 +1,6 @@
 import type { WireGroup } from '../stand-ins/platform/wire-group.js'
+import { listCutStatements } from './cut-statements.js'
+import type { PlannedStops } from './cut-statements.js'
 import type { History } from './workload.js'
 
 /** What callers and databases observed during a run. */
@@ -8,6 +10,7 @@
   workspaces: readonly { name: string, key: string, rate: number, burst: number }[]
   /** Whether a promotion may lose acknowledged commits. */
   canLoseCommits: boolean
+  planned: PlannedStops
 }
 
 /** Time by which the databases may observe a statement later than it was sent: the delay of a slow proxy, and of this busy process. */
@@ -22,7 +25,7 @@
  * ran and the writes that they store.
  * @returns one line for each broken promise
  */
-export function checkPromises ({ history, groups, workspaces, canLoseCommits }: PromiseInputs): string[] {
+export function checkPromises ({ history, groups, workspaces, canLoseCommits, planned }: PromiseInputs): string[] {
   const storedCounts = new Map<string, number>()
   for (const group of groups) {
     for (const { writes } of group.primary().log) for (const { id } of writes) storedCounts.set(id, (storedCounts.get(id) ?? 0) + 1)
@@ -32,6 +35,7 @@
     ...groups.flatMap(({ violations }) => violations),
     ...checkWrites(history, storedCounts, canLoseCommits),
     ...checkRanStatements(history, groups),
+    ...listCutStatements(history, groups, planned).filter(({ excuse }) => excuse === null).map(({ description }) => `LOST: ${description}`),
     ...checkKeys(groups, workspaces),
     ...workspaces.flatMap((workspace) => checkRate(history, groups, workspace))
   ]
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -15,6 +15,18 @@
   process: ChildProcess | null
   /** Whether the instance is supposed to run. If its process exits while this is true, the exit is unexpected. */
   shouldRun: boolean
+  /** Time at which the process received SIGTERM, in milliseconds since the Unix epoch; null while it is not stopping. */
+  stoppingSince: number | null
+}
+
+/** A planned stop of an instance, from SIGTERM on. Times are in milliseconds since the Unix epoch. */
+export interface PlannedStop {
+  host: string
+  signalledAt: number
+  /** Null while the process runs. */
+  exitedAt: number | null
+  /** Signal that ended the process; null when it exited by itself. */
+  endedBy: string | null
 }
 
 export interface FleetOptions {
@@ -42,6 +54,8 @@
   start: (instance: InstanceProcess) => void
   /** Sends a signal to the process of an instance. After SIGTERM or SIGKILL its exit is expected. */
   signal: (instance: InstanceProcess, signal: NodeJS.Signals) => void
+  /** Planned stops in the order of their SIGTERM. */
+  readonly stops: readonly PlannedStop[]
   /** @returns names of instances whose process exited unexpectedly, each with its exit code or signal */
   listUnexpectedExits: () => readonly string[]
   /** Kills all processes and waits up to 3 s for their exits. */
@@ -54,12 +68,13 @@
 export function createFleet (options: FleetOptions): Fleet {
   const { folder, network } = options
   const unexpectedExits: string[] = []
+  const stops: PlannedStop[] = []
   let isFirstStart = true
   const instances: InstanceProcess[] = []
   for (let index = 0; index < options.controls + options.entries; index++) {
     const role: Role = index < options.controls ? 'control' : 'entry'
     const number = role === 'control' ? index : index - options.controls
-    instances.push({ name: `${role}-${number + 1}`, role, host: `127.${network}.${role === 'control' ? 1 : 2}.${number + 1}`, failureDomain: `domain-${number % options.failureDomains}`, process: null, shouldRun: false })
+    instances.push({ name: `${role}-${number + 1}`, role, host: `127.${network}.${role === 'control' ? 1 : 2}.${number + 1}`, failureDomain: `domain-${number % options.failureDomains}`, process: null, shouldRun: false, stoppingSince: null })
   }
   const seeds = instances.filter(({ role }) => role === 'control').slice(0, 3).map(({ host }) => `${host}:${ports.registry}`)
 
@@ -89,13 +104,20 @@
     child.stderr.pipe(log, { end: false })
     instance.process = child
     instance.shouldRun = true
+    instance.stoppingSince = null
     child.on('exit', (code, signal) => {
+      const stop = stops.find(({ host, exitedAt }) => host === instance.host && exitedAt === null)
+      if (stop !== undefined) Object.assign(stop, { exitedAt: Date.now(), endedBy: signal })
       if (instance.process === child) instance.process = null
       if (instance.shouldRun && instance.process === null) unexpectedExits.push(`${instance.name}: ${code ?? signal ?? ''}`)
     })
   }
 
   function signal (instance: InstanceProcess, name: NodeJS.Signals): void {
+    if (name === 'SIGTERM' && instance.process !== null && instance.stoppingSince === null) {
+      instance.stoppingSince = Date.now()
+      stops.push({ host: instance.host, signalledAt: instance.stoppingSince, exitedAt: null, endedBy: null })
+    }
     if (name === 'SIGTERM' || name === 'SIGKILL') instance.shouldRun = false
     instance.process?.kill(name)
   }
@@ -115,6 +137,7 @@
       if (instances.every(({ process }) => process !== null)) isFirstStart = false
     },
     signal,
+    stops,
     listUnexpectedExits: () => unexpectedExits,
     stop
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,5 +1,6 @@
 import { join } from 'node:path'
 import { Command } from 'commander'
+import type { Habit } from './planned-workload.js'
 import { runSeed } from './run-seed.js'
 
 interface CommandOptions {
@@ -10,6 +11,10 @@
   controls: string
   folder: string
   lend: boolean
+  planned: boolean
+  sessions: string
+  habits: string
+  keep: boolean
 }
 
 const program = new Command('soak')
@@ -20,14 +25,19 @@
   .option('--entries <count>', 'entry instances', '4')
   .option('--controls <count>', 'control instances', '3')
   .option('--lend', 'databases accept so few connections that instances lend them to each other', false)
+  .option('--planned', 'plays planned stops of entry instances and nothing unplanned', false)
+  .option('--sessions <count>', 'sessions while stops are planned', '60')
+  .option('--habits <names>', 'habits of these sessions: usual, eager, pipelining, slow, half-closing', 'usual,usual,eager')
   .option('--folder <path>', 'settings, data and logs of seeds that broke a promise', '.soak')
+  .option('--keep', 'keeps the folders of all seeds', false)
 
 /** Runs all seeds and prints one line of JSON for each. Exits with code 1 if a promise was broken. */
 async function soak (flags: CommandOptions): Promise<void> {
   let broken = 0
+  const planned = flags.planned ? { planned: { sessions: Number(flags.sessions), habits: flags.habits.split(',') as Habit[] } } : {}
   for (let number = 0; number < Number(flags.seeds); number++) {
     const seed = Number(flags.seed) + number
-    const result = await runSeed({ seed, durationMs: Number(flags.seconds) * 1000, entries: Number(flags.entries), controls: Number(flags.controls), lendsConnections: flags.lend, folder: join(flags.folder, `seed-${seed}`), network: 32 + seed % 64 })
+    const result = await runSeed({ seed, durationMs: Number(flags.seconds) * 1000, entries: Number(flags.entries), controls: Number(flags.controls), lendsConnections: flags.lend, ...planned, keepsFolder: flags.keep, folder: join(flags.folder, `seed-${seed}`), network: 32 + seed % 64 })
     if (result.violations.length > 0) broken++
     console.log(JSON.stringify({ ...result, violations: result.violations.slice(0, 10), violationCount: result.violations.length }))
   }
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -6,12 +6,17 @@
 import { startWireGroup } from '../stand-ins/platform/wire-group.js'
 import type { GroupMember, WireGroup } from '../stand-ins/platform/wire-group.js'
 import { checkPromises, rateExcess } from './check-promises.js'
+import { listCutStatements } from './cut-statements.js'
 import { createFleet, ports } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { LoopbackProxy } from './loopback-proxy.js'
 import { startLoopbackProxy } from './loopback-proxy.js'
+import { playPlannedStops } from './planned-stops.js'
+import type { Habit, PlannedRoute } from './planned-workload.js'
+import { startPlannedWorkload } from './planned-workload.js'
+import type { Disturbance } from './schedule.js'
 import { runSchedule } from './schedule.js'
-import { startWorkload } from './workload.js'
+import { STATEMENT_TIMEOUT_MS, startWorkload } from './workload.js'
 
 export interface SeedOptions {
   seed: number
@@ -21,8 +26,13 @@
   controls: number
   /** Whether databases accept so few connections that instances lend them to each other. */
   lendsConnections?: boolean
-  /** Folder for settings, data and logs of this seed. It is removed if no promise was broken. */
+  /** Plays planned stops of the entry instances, and nothing unplanned, instead of random faults. */
+  planned?: { sessions: number, habits: readonly Habit[] }
+  /** Time after which a statement that reached no database counts as read by its instance, in milliseconds. Default: 200. */
+  unreadSlackMs?: number
+  /** Folder for settings, data and logs of this seed. It is removed if no promise was broken, unless `keepsFolder` is set. */
   folder: string
+  keepsFolder?: boolean
   /** Second byte of all loopback addresses. Seeds that run at the same time need different values. */
   network: number
 }
@@ -35,6 +45,17 @@
   notServed: number
   promotions: number
   faults: number
+  /** Sent statements, and statements that were cut by the end of their connection, by their excuse. */
+  statements: number
+  cut: Record<string, number>
+  /** Planned stops, those that ended by SIGKILL, and the longest time from SIGTERM to the exit in milliseconds. */
+  stops: number
+  killedStops: number
+  longestStopMs: number
+  /** Answers without success by their code. */
+  codes: Record<string, number>
+  /** Longest time for which this program did not handle events, in milliseconds. Observed times are late by up to this time. */
+  longestDelayMs: number
 }
 
 const ANNOUNCEMENT_INTERVAL_MS = 400
@@ -46,6 +67,14 @@
 /** Connections that a database accepts where instances lend them. */
 const SCARCE_CONNECTIONS = 12
 const IDLE_WORKSPACES = 29
+/** Time between SIGTERM and SIGKILL in seconds: of planned stops as the platform plays them, and among random faults. */
+const STOP_LIMIT_SECONDS = { planned: 6, mixed: 4 }
+/** Rate and burst with which planned stops are not disturbed by refusals. */
+const AMPLE_RATE = { rate: 5000, burst: 5000 }
+/** Range of the work of a statement in milliseconds, and the longest work and its share, while stops are planned. */
+const WORK_MS = { shortest: 5, longest: 60, exceptional: 400, exceptionalShare: 0.03 }
+const UNREAD_SLACK_MS = 200
+const DELAY_PROBE_INTERVAL_MS = 20
 const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
 
 /**
@@ -60,17 +89,33 @@
   const syncReplicas = random() < 0.5 ? 0 : 1
   const host = `127.${network}.9.1`
   const groups: WireGroup[] = []
-  for (const service of ['alpha', 'beta']) groups.push(await startWireGroup({ service, host, size: 3, syncReplicas, statementMs: 5, promotionMs: 200 }))
+  const { planned } = options
+  const drawWork = createRandom(seed + 1)
+  const statementMs = (): number => {
+    if (planned === undefined) return WORK_MS.shortest
+    const longest = drawWork() < WORK_MS.exceptionalShare ? WORK_MS.exceptional : WORK_MS.longest
+    return WORK_MS.shortest + drawWork() * (longest - WORK_MS.shortest)
+  }
+  for (const service of ['alpha', 'beta']) groups.push(await startWireGroup({ service, host, size: 3, syncReplicas, statementMs, promotionMs: 200 }))
   const authority = await startAuthority(groups, host)
   const proxies = new Map<GroupMember, LoopbackProxy>()
-  for (const { members } of groups) for (const member of members) proxies.set(member, await startLoopbackProxy(host, { host, port: member.port }))
+  for (const { members } of groups) for (const member of planned === undefined ? members : []) proxies.set(member, await startLoopbackProxy(host, { host, port: member.port }))
   const authorityProxy = await startLoopbackProxy(host, { host, port: portOf(authority) })
-  const fleet = createFleet({ folder, entries: options.entries, controls: options.controls, failureDomains: FAILURE_DOMAINS, network, authority: authorityProxy.address, settings: { announcementIntervalMs: ANNOUNCEMENT_INTERVAL_MS, rateExcessShare: rateExcess.share, rateExcessRequests: rateExcess.requests } })
+  const stopLimitSeconds = planned === undefined ? STOP_LIMIT_SECONDS.mixed : STOP_LIMIT_SECONDS.planned
+  const fleet = createFleet({ folder, entries: options.entries, controls: options.controls, failureDomains: FAILURE_DOMAINS, network, authority: authorityProxy.address, settings: { announcementIntervalMs: ANNOUNCEMENT_INTERVAL_MS, rateExcessShare: rateExcess.share, rateExcessRequests: rateExcess.requests, stopLimitSeconds } })
   const workspaces = [
     { name: 'large', key: `key-large-${seed}`, rate: 400, burst: 200 },
     { name: 'small', key: `key-small-${seed}`, rate: 12, burst: 12 },
     { name: 'third', key: `key-third-${seed}`, rate: 200, burst: 100 }
-  ]
+  ].map((workspace) => planned === undefined ? workspace : { ...workspace, ...AMPLE_RATE })
+  const ownWritesRoute = { type: 'read_own_writes', timeoutMs: STATEMENT_TIMEOUT_MS, readsOnly: false }
+  const routes: (PlannedRoute & { service: string, type: string })[] = planned === undefined
+    ? groups.map(({ service }) => ({ ...ownWritesRoute, database: `db-${service}`, service }))
+    : [
+        { database: 'db-alpha', service: 'alpha', type: 'primary', timeoutMs: 1000, readsOnly: false },
+        { ...ownWritesRoute, database: 'db-beta', service: 'beta' },
+        { database: 'db-reports', service: 'beta', type: 'bounded_staleness', timeoutMs: 3000, readsOnly: true }
+      ]
   /** Workspaces without traffic. With more workspaces, instances lend connections from a higher limit on. */
   const idleWorkspaces = Array.from({ length: options.lendsConnections === true ? IDLE_WORKSPACES : 0 }, (_, number) => ({ name: `idle-${number}`, key: `key-idle-${number}-${seed}`, rate: 1, burst: 1 }))
   const state = { isStopping: false }
@@ -94,7 +139,7 @@
   async function sendAnnouncements (group: WireGroup, member: GroupMember, number: number): Promise<void> {
     for (let sequence = 1; !state.isStopping; sequence++) {
       const role = group.primary() === member ? 'primary' : 'replica'
-      const body = { service: group.service, address: proxies.get(member)?.address, zone: `domain-${number % FAILURE_DOMAINS}`, version: '1', slots: 8, state: 'ready', cold_remaining_ms: 0, db_role: role, sequence, born: 1 }
+      const body = { service: group.service, address: proxies.get(member)?.address ?? `${host}:${member.port}`, zone: `domain-${number % FAILURE_DOMAINS}`, version: '1', slots: 8, state: 'ready', cold_remaining_ms: 0, db_role: role, sequence, born: 1 }
       if (member.isUp) await post(`/api/instances/${member.id}/heartbeat`, body, 1000)
       await pause(ANNOUNCEMENT_INTERVAL_MS)
     }
@@ -103,7 +148,7 @@
   function buildConfiguration (version: number): object {
     return {
       version,
-      routes: groups.map(({ service }) => ({ name: `route-${service}`, database: `db-${service}`, path_prefix: '/', route_type: 'read_own_writes', timeout_ms: 1500, target_latency_ms: 400, priority: 1, service, max_staleness_ms: 2000, public: false })),
+      routes: routes.map(({ database, service, type, timeoutMs }) => ({ name: `route-${database}`, database, path_prefix: '/', route_type: type, timeout_ms: timeoutMs, target_latency_ms: 400, priority: 1, service, max_staleness_ms: 2000, public: false })),
       services: groups.map(({ service }) => ({ name: service, max_connections: options.lendsConnections === true ? SCARCE_CONNECTIONS : 40, sync_replicas: syncReplicas })),
       limits: { tx_idle_ms: 3000 },
       tenants: [...workspaces, ...idleWorkspaces].map(({ name, key, rate, burst }) => ({ name, api_keys: [key], rate_per_s: rate, burst }))
@@ -111,6 +156,12 @@
   }
 
   const violations: string[] = []
+  let longestDelayMs = 0
+  let probedAt = Infinity
+  const delayProbe = setInterval(() => {
+    longestDelayMs = Math.max(longestDelayMs, Date.now() - probedAt - DELAY_PROBE_INTERVAL_MS)
+    probedAt = Date.now()
+  }, DELAY_PROBE_INTERVAL_MS)
   let acknowledgedVersion = 0
   /** Replaces the configuration by ever higher versions. After a version was acknowledged, no instance may show a lower one. */
   async function replaceConfigurations (): Promise<void> {
@@ -144,36 +195,58 @@
     acknowledgedVersion = 1
     for (const group of groups) group.members.forEach((member, number) => { sendAnnouncements(group, member, number).catch((error: unknown) => { violations.push(`announcements of a database failed: ${String(error)}`) }) })
     const configurationLoop = replaceConfigurations()
+    const entries = fleet.instances.filter(({ role }) => role === 'entry')
     const databaseOf = new Map(groups.map((group) => [`db-${group.service}`, group]))
-    const workload = startWorkload({ random, entries: fleet.instances.filter(({ role }) => role === 'entry'), workspaces, databases: [...databaseOf.keys()], callers: 24, termOf: (database) => databaseOf.get(database)?.term() ?? 0, canLoseCommits: syncReplicas === 0 })
-    await runSchedule({
-      random,
-      fleet,
-      groups,
-      proxies: [...proxies.values(), authorityProxy],
-      toleratedControls: Math.floor((options.controls - 1) / 2),
-      onFault: (fault) => {
-        faults++
-        appendFileSync(join(folder, 'faults.log'), `${new Date().toISOString()} ${fault}\n`)
-      }
-    }, options.durationMs)
+    const workload = planned !== undefined ? startPlannedWorkload({ random, entries, workspaces, routes, ...planned }) : startWorkload({ random, entries, workspaces, databases: [...databaseOf.keys()], callers: 24, termOf: (database) => databaseOf.get(database)?.term() ?? 0, canLoseCommits: syncReplicas === 0 })
+    probedAt = Date.now()
+    const onFault = (fault: string): void => {
+      faults++
+      appendFileSync(join(folder, 'faults.log'), `${new Date().toISOString()} ${fault}\n`)
+    }
+    const disturbances: Disturbance[] = []
+    if (planned !== undefined) await playPlannedStops({ random, fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
+    else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], toleratedControls: Math.floor((options.controls - 1) / 2), onFault }, options.durationMs))
     await pause(SETTLE_MS)
     await checkStoredConfiguration()
     await workload.stop()
     state.isStopping = true
     await configurationLoop
     const { history } = workload
-    violations.push(...checkPromises({ history, groups, workspaces, canLoseCommits: syncReplicas === 0 }))
+    const plannedStops = { stops: fleet.stops, disturbances, stopLimitMs: stopLimitSeconds * 1000, unreadSlackMs: options.unreadSlackMs ?? UNREAD_SLACK_MS }
+    violations.push(...checkPromises({ history, groups, workspaces, canLoseCommits: syncReplicas === 0, planned: plannedStops }))
     violations.push(...fleet.listUnexpectedExits().map((name) => `ENDED: ${name}`))
     const promotions = groups.reduce((sum, group) => sum + group.term() - 1, 0)
-    return { seed, violations, served: history.served, notServed: history.notServed, promotions, faults }
+    const cutStatements = listCutStatements(history, groups, plannedStops)
+    appendFileSync(join(folder, 'cut-statements.log'), cutStatements.map(({ description, excuse }) => `${excuse ?? 'BROKEN'}: ${description}\n`).join(''))
+    return {
+      seed,
+      violations,
+      served: history.served,
+      notServed: history.notServed,
+      promotions,
+      faults,
+      statements: history.sent.size,
+      cut: countByName(cutStatements.map(({ excuse }) => excuse ?? 'broken')),
+      stops: fleet.stops.length,
+      killedStops: fleet.stops.filter(({ endedBy }) => endedBy === 'SIGKILL').length,
+      longestStopMs: Math.max(0, ...fleet.stops.map(({ signalledAt, exitedAt }) => (exitedAt ?? signalledAt) - signalledAt)),
+      codes: countByName([...history.sent.values()].flatMap(({ answer }) => answer?.code ?? [])),
+      longestDelayMs
+    }
   } finally {
     state.isStopping = true
+    clearInterval(delayProbe)
     await stopAll(fleet, groups, [...proxies.values(), authorityProxy], authority)
-    if (violations.length === 0) rmSync(folder, { recursive: true, force: true })
+    if (violations.length === 0 && options.keepsFolder !== true) rmSync(folder, { recursive: true, force: true })
   }
 }
 
+function countByName (names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
+  return counts
+}
+
 async function stopAll (fleet: Fleet, groups: readonly WireGroup[], proxies: readonly LoopbackProxy[], authority: Server): Promise<void> {
   await fleet.stop()
   for (const proxy of proxies) proxy.close()
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -16,9 +16,17 @@
   onFault: (fault: string) => void
 }
 
+/** Time during which a fault was in force, in milliseconds since the Unix epoch. */
+export interface Disturbance {
+  from: number
+  until: number
+}
+
 /** A fault. `begin` injects it and `end` undoes it. */
 interface Fault {
   name: string
+  /** Whether it belongs to the operation of the system, as a stop or a reload does. */
+  isPlanned?: boolean
   begin: () => void
   end: () => void | Promise<void>
   /** Minimum and maximum duration in milliseconds. */
@@ -29,20 +37,23 @@
 const MEAN_PAUSE_MS = 700
 const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
 
-/** Injects random, overlapping faults for `durationMs` milliseconds. Resolves when all of them have ended. */
-export async function runSchedule (targets: ScheduleTargets, durationMs: number): Promise<void> {
+/** Injects random, overlapping faults for `durationMs` milliseconds. Resolves with the unplanned ones when all have ended. */
+export async function runSchedule (targets: ScheduleTargets, durationMs: number): Promise<Disturbance[]> {
   const { random } = targets
   const disturbedTargets = new Set<unknown>()
   const runningFaults: Promise<void>[] = []
+  const disturbances: Disturbance[] = []
   const endsAt = Date.now() + durationMs
 
-  async function runFault (target: unknown, { name, begin, end, durationMs: [shortest, longest] }: Fault): Promise<void> {
+  async function runFault (target: unknown, { name, isPlanned, begin, end, durationMs: [shortest, longest] }: Fault): Promise<void> {
     disturbedTargets.add(target)
     const faultMs = Math.round(shortest + random() * (longest - shortest))
     targets.onFault(`${name} for ${faultMs} ms`)
+    const from = Date.now()
     begin()
     await pause(Math.min(faultMs, Math.max(0, endsAt - Date.now())))
     await end()
+    if (isPlanned !== true) disturbances.push({ from, until: Date.now() })
     disturbedTargets.delete(target)
   }
 
@@ -52,6 +63,7 @@
     if (chosen !== null) runningFaults.push(runFault(chosen.target, chosen.fault))
   }
   await Promise.all(runningFaults)
+  return disturbances
 }
 
 function pick<Item> (random: Random, items: readonly Item[]): Item | undefined {
@@ -87,6 +99,7 @@
   if (kind < 0.9) {
     return {
       name: `stop ${name}`,
+      isPlanned: true,
       begin: () => { fleet.signal(instance, 'SIGTERM') },
       end: async () => {
         for (let waits = 0; instance.process !== null && waits < 100; waits++) await pause(50)
@@ -97,7 +110,7 @@
       durationMs: [1000, 2500]
     }
   }
-  return { name: `reload ${name}`, begin: () => { fleet.signal(instance, 'SIGHUP') }, end: () => {}, durationMs: [10, 100] }
+  return { name: `reload ${name}`, isPlanned: true, begin: () => { fleet.signal(instance, 'SIGHUP') }, end: () => {}, durationMs: [10, 100] }
 }
 
 function createDatabaseFault (random: Random, group: WireGroup): Fault {
--- a/soak/workload.ts
+++ b/soak/workload.ts
@@ -1,5 +1,5 @@
 import type { Random } from '../src/utils/create-random.js'
-import type { Answer, CallerConnection, StatementOutcome } from './caller.js'
+import type { Answer, CallerConnection, QueryOptions, StatementOutcome } from './caller.js'
 import { openCaller } from './caller.js'
 import type { InstanceProcess } from './fleet.js'
 import { ports } from './fleet.js'
@@ -27,8 +27,23 @@
   values: string
   /** Time at which the caller got the answer, in milliseconds since the Unix epoch; null when it got none. */
   answeredAt: number | null
+  /** Name of the database that the session asked for. */
+  database: string
+  /** Address of the entry instance that it was sent to. */
+  host: string
+  /** Time limit of its route for one statement, in milliseconds. */
+  timeoutMs: number
+  /** Time at which it was sent, in milliseconds since the Unix epoch. */
+  sentAt: number
+  /** Time at which its answer was complete or its connection ended, in milliseconds since the Unix epoch; null before. */
+  endedAt: number | null
+  /** Its answer; null before it ends. */
+  answer: Answer | null
 }
 
+/** A statement before it is sent. */
+export type PlannedStatement = Omit<SentStatement, 'answeredAt' | 'host' | 'sentAt' | 'endedAt' | 'answer'>
+
 /** Statements, outcomes and violations that all callers observed together. */
 export interface History {
   writes: WriteRecord[]
@@ -39,6 +54,24 @@
   notServed: number
 }
 
+/** Time limit of the routes for one statement, in milliseconds. */
+export const STATEMENT_TIMEOUT_MS = 1500
+
+/**
+ * Sends a statement and records it.
+ * @param wireText - text to send, where it differs from the text that is compared with what a database ran
+ */
+export async function sendStatement ({ sent }: History, connection: CallerConnection, statement: PlannedStatement, wireText = statement.text, options: QueryOptions = {}): Promise<Answer & { id: string }> {
+  const id = `q${sent.size + 1}`
+  const record: SentStatement = { ...statement, answeredAt: null, host: connection.host, sentAt: Date.now(), endedAt: null, answer: null }
+  sent.set(id, record)
+  const answer = await connection.query(id, wireText, options)
+  record.answer = answer
+  record.endedAt = Date.now()
+  if (answer.outcome === 'done' || answer.code !== null) record.answeredAt = record.endedAt
+  return { id, ...answer }
+}
+
 /** Options of the workload. `callers` is the number of concurrent callers. */
 export interface WorkloadOptions {
   random: Random
@@ -71,7 +104,7 @@
   const history: History = { writes: [], sent: new Map(), violations: [], served: 0, notServed: 0 }
   const state = { isStopping: false }
   const valuesOf = new WeakMap<CallerConnection, string>()
-  let statementCount = 0
+  const databaseOf = new WeakMap<CallerConnection, string>()
 
   async function runCaller (number: number): Promise<void> {
     const workspace = options.workspaces[number % options.workspaces.length] as { name: string, key: string }
@@ -85,13 +118,8 @@
     }
   }
 
-  async function sendStatement (connection: CallerConnection, workspace: string, text: string, beginsOperation: boolean): Promise<Answer & { id: string }> {
-    const id = `q${++statementCount}`
-    const sent: SentStatement = { text, workspace, beginsOperation, values: valuesOf.get(connection) ?? '', answeredAt: null }
-    history.sent.set(id, sent)
-    const answer = await connection.query(id, text)
-    if (answer.outcome === 'done' || answer.code !== null) sent.answeredAt = Date.now()
-    return { id, ...answer }
+  async function send (connection: CallerConnection, workspace: string, text: string, beginsOperation: boolean): Promise<Answer & { id: string }> {
+    return await sendStatement(history, connection, { text, workspace, beginsOperation, values: valuesOf.get(connection) ?? '', database: databaseOf.get(connection) ?? '', timeoutMs: STATEMENT_TIMEOUT_MS })
   }
 
   async function runSession (connection: CallerConnection, item: string, workspace: string, database: string): Promise<void> {
@@ -99,6 +127,7 @@
     let acknowledged = 0
     let acknowledgedInTerm = 0
     const stepCount = 5 + Math.floor(random() * 40)
+    databaseOf.set(connection, database)
     await setOwner(connection, workspace, item)
     for (let step = 0; step < stepCount && connection.isOpen() && !state.isStopping; step++) {
       await pause(random() * MEAN_THINK_TIME_MS * 2)
@@ -106,7 +135,7 @@
       const kind = random()
       if (kind < 0.35) {
         count++
-        const { id, outcome } = await sendStatement(connection, workspace, `WRITE ${item} ${count}`, true)
+        const { id, outcome } = await send(connection, workspace, `WRITE ${item} ${count}`, true)
         recordOutcome(outcome, { id, item, count, workspace, outcome, isTransaction: false, at: Date.now() })
         if (outcome === 'done') [acknowledged, acknowledgedInTerm] = [count, options.termOf(database)]
       } else if (kind < 0.5) {
@@ -114,7 +143,7 @@
         const outcome = await runTransaction(connection, item, count, workspace)
         if (outcome === 'done') [acknowledged, acknowledgedInTerm] = [count, options.termOf(database)]
       } else {
-        const { outcome, rows } = await sendStatement(connection, workspace, `READ ${item}`, true)
+        const { outcome, rows } = await send(connection, workspace, `READ ${item}`, true)
         recordOutcome(outcome, null)
         if (outcome === 'done') checkRead(item, rows[0], acknowledged, acknowledgedInTerm === options.termOf(database), count)
       }
@@ -123,7 +152,7 @@
   }
 
   async function setOwner (connection: CallerConnection, workspace: string, owner: string): Promise<void> {
-    const { outcome } = await sendStatement(connection, workspace, `SET owner ${owner}`, false)
+    const { outcome } = await send(connection, workspace, `SET owner ${owner}`, false)
     if (outcome === 'done') valuesOf.set(connection, `owner=${owner}`)
     else connection.close()
   }
@@ -136,18 +165,18 @@
   }
 
   async function runTransaction (connection: CallerConnection, item: string, count: number, workspace: string): Promise<StatementOutcome> {
-    const begun = await sendStatement(connection, workspace, 'BEGIN', false)
+    const begun = await send(connection, workspace, 'BEGIN', false)
     if (begun.outcome !== 'done') {
       recordOutcome(begun.outcome, null)
       return 'unknown'
     }
-    const written = await sendStatement(connection, workspace, `WRITE ${item} ${count}`, true)
+    const written = await send(connection, workspace, `WRITE ${item} ${count}`, true)
     if (written.outcome === 'done') {
-      const { outcome, rows } = await sendStatement(connection, workspace, `READ ${item}`, false)
+      const { outcome, rows } = await send(connection, workspace, `READ ${item}`, false)
       if (outcome === 'done' && rows[0] !== String(count)) history.violations.push(`PINNED: ${item} shows ${rows[0] ?? 'no row'} in the transaction that wrote ${count}`)
     }
     const isRolledBack = random() < 0.2
-    const ended = await sendStatement(connection, workspace, isRolledBack ? 'ROLLBACK' : 'COMMIT', false)
+    const ended = await send(connection, workspace, isRolledBack ? 'ROLLBACK' : 'COMMIT', false)
     const outcome: StatementOutcome = written.outcome !== 'done' || isRolledBack ? 'not-kept' : ended.outcome
     // If the write failed, the transaction is rolled back, whatever the answer to its commit is.
     recordOutcome(outcome === 'not-kept' ? ended.outcome : outcome, { id: written.id, item, count, workspace, outcome, isTransaction: true, at: Date.now() })
--- a/stand-ins/platform/group-record.ts
+++ b/stand-ins/platform/group-record.ts
@@ -21,6 +21,7 @@
   /** Wall-clock time at which the database received it, in ms. */
   receivedAt: number
   id: string
+  /** Text of the statement. In an `EXECUTE` the kind and the shape that were prepared stand in place of the name, which its sender may choose. */
   text: string
   /** Workspace of the session that sent the statement. */
   workspace: string
@@ -29,3 +30,11 @@
   /** Values that the session had, as `name=value` in the order of the names. */
   values: string
 }
+
+/** Times of a statement at a database, which received it and perhaps did not run it. */
+export interface StatementReceipt {
+  /** Wall-clock time at which the database received it, in ms. */
+  receivedAt: number
+  /** Wall-clock time at which the database had finished its work on it, in ms; null before. */
+  finishedAt: number | null
+}
--- a/stand-ins/platform/wire-group.ts
+++ b/stand-ins/platform/wire-group.ts
@@ -2,7 +2,7 @@
 import type { Server, Socket } from 'node:net'
 import { compareLogPositions, isAtOrPast } from '../../src/types/log-position.js'
 import type { LogPosition } from '../../src/types/log-position.js'
-import type { CommittedWrite, GroupStatement, LogEntry } from './group-record.js'
+import type { CommittedWrite, GroupStatement, LogEntry, StatementReceipt } from './group-record.js'
 
 /** One database of a group. */
 export interface GroupMember {
@@ -29,8 +29,8 @@
   size: number
   /** Number of replicas that must have received a commit before the primary acknowledges it: 0 or 1. */
   syncReplicas: 0 | 1
-  /** Time that a data statement takes, in ms. */
-  statementMs: number
+  /** @returns time that a data statement takes, in ms */
+  statementMs: () => number
   /** Time that a promotion takes, in ms. */
   promotionMs: number
 }
@@ -41,6 +41,8 @@
   readonly members: readonly GroupMember[]
   /** Statements that the databases ran, in order of execution. */
   readonly statements: readonly GroupStatement[]
+  /** Times of all statements that the databases received, by id, except those with the id `-`. */
+  readonly receipts: ReadonlyMap<string, StatementReceipt>
   /** First line of each connection to a database. */
   readonly startLines: readonly string[]
   /** Violations of the protocol that a database detected, one line each. */
@@ -88,6 +90,7 @@
 export async function startWireGroup (options: WireGroupOptions): Promise<WireGroup> {
   const { service } = options
   const statements: GroupStatement[] = []
+  const receipts = new Map<string, StatementReceipt>()
   const startLines: string[] = []
   const violations: string[] = []
   const servers = new Map<GroupMember, Server>()
@@ -186,7 +189,10 @@
 
   async function handleLine (member: GroupMember, session: Session, line: string, receivedAt: number): Promise<void> {
     const [, id = '', ...words] = line.split(' ')
+    const receipt: StatementReceipt = { receivedAt, finishedAt: null }
+    if (id !== '-') receipts.set(id, receipt)
     const answer = await runStatement(member, session, { id, receivedAt }, words.join(' '))
+    receipt.finishedAt = Date.now()
     if (member.isUp && !session.socket.destroyed) session.socket.write(`${answer}\r\nREADY ${session.state} ${formatPosition(appliedPosition(member))}\r\n`)
   }
 
@@ -218,7 +224,7 @@
       return 'DONE -'
     }
     if (afterMatch !== null && !isAtOrPast(appliedPosition(member), { term: Number(afterMatch[1]), offset: Number(afterMatch[2]) })) return refuseStatement(session, 'LAGGING')
-    await pause(options.statementMs)
+    await pause(options.statementMs())
     return await runDataStatement(member, session, request, statement, verb, name, rest)
   }
 
@@ -235,7 +241,7 @@
     const isReadWriteBegin = verb === 'BEGIN' && name !== 'READ'
     const requiresPrimary = isWrite || isReadWriteBegin || (session.state === 'T' && session.isReadWrite && !(verb === 'COMMIT' && session.writes.length === 0))
     if (requiresPrimary && !isPrimary(member)) return refuseStatement(session, 'READONLY')
-    if (id !== '-') statements.push({ at: Date.now(), receivedAt, id, text: statement, workspace: session.workspace, session: session.number, values: formatValues(session) })
+    if (id !== '-') statements.push({ at: Date.now(), receivedAt, id, text: preparedText === undefined ? statement : ['EXECUTE', preparedText, ...rest].join(' '), workspace: session.workspace, session: session.number, values: formatValues(session) })
     if (verb === 'BEGIN') {
       if (session.state !== 'I') violations.push(`BEGIN inside a transaction of ${session.workspace}`)
       Object.assign(session, { state: 'T', isReadWrite: isReadWriteBegin, writes: [] })
@@ -316,6 +322,7 @@
     service,
     members,
     statements,
+    receipts,
     startLines,
     violations,
     term: () => term,
