soak: subtract the time in which the soak itself stood still

Cause: on a machine with a load of 20 the soak stood still for up to 1.3 s, so that it saw the end of a connection late and reported 48 statements as left unread for over 200 ms that were answered by a close in time.

Change: a clock measures the time in which the soak handled no events, and a statement's waiting time leaves it out.

--- a/soak/cut-statements.ts
+++ b/soak/cut-statements.ts
@@ -33,22 +33,22 @@
 /** @returns all statements that were cut, whether or not a planned stop broke its promise by it */
 export function listCutStatements ({ sent }: History, groups: readonly WireGroup[], planned: PlannedStops): CutStatement[] {
   return [...sent].flatMap(([id, statement]) => {
-    const { sentAt, endedAt, answer } = statement
+    const { sentAt, endedAt, waitedMs, answer } = statement
     if (endedAt === null || answer?.end !== 'cut') return []
     const receipt = groups.flatMap(({ receipts }) => receipts.get(id) ?? [])[0]
     const stop = planned.stops.filter(({ host, signalledAt }) => host === statement.host && endedAt >= signalledAt && endedAt <= signalledAt + planned.stopLimitMs + STOP_MARGIN_MS).pop()
     const zero = stop?.signalledAt ?? sentAt
     const atDatabase = receipt === undefined ? 'no database received it' : `at a database from ${receipt.receivedAt - zero} ms to ${receipt.finishedAt === null ? 'the end' : `${receipt.finishedAt - zero} ms`}`
-    const description = `${id} ${statement.text.slice(0, 60)} on ${statement.database} via ${statement.host}, sent ${sentAt - zero} ms and cut ${endedAt - zero} ms after ${stop === undefined ? 'it was sent' : 'SIGTERM'}, ${atDatabase}, ${answer.partialBytes} bytes of an answer, connection error ${answer.connectionError ?? 'none'}`
+    const description = `${id} ${statement.text.slice(0, 60)} on ${statement.database} via ${statement.host}, sent ${sentAt - zero} ms and cut ${endedAt - zero} ms after ${stop === undefined ? 'it was sent' : 'SIGTERM'}, ${endedAt - sentAt - waitedMs} ms of it unobserved, ${atDatabase}, ${answer.partialBytes} bytes of an answer, connection error ${answer.connectionError ?? 'none'}`
     return [{ description, excuse: stop === undefined ? 'no planned stop' : findExcuse(statement, endedAt, stop, receipt, planned) }]
   })
 }
 
-function findExcuse ({ sentAt, timeoutMs }: SentStatement, endedAt: number, { signalledAt }: PlannedStop, receipt: { finishedAt: number | null } | undefined, planned: PlannedStops): string | null {
+function findExcuse ({ sentAt, timeoutMs, waitedMs }: SentStatement, endedAt: number, { signalledAt }: PlannedStop, receipt: { finishedAt: number | null } | undefined, planned: PlannedStops): string | null {
   const { stopLimitMs, unreadSlackMs } = planned
   if (planned.disturbances.some(({ from, until }) => from <= endedAt && until >= sentAt - DISTURBANCE_EFFECT_MS)) return 'unplanned disturbance'
   if (endedAt - sentAt >= timeoutMs) return 'time limit of the route'
-  if (receipt === undefined) return endedAt - sentAt > unreadSlackMs ? null : 'not read'
+  if (receipt === undefined) return waitedMs > unreadSlackMs ? null : 'not read'
   const lastPartFrom = signalledAt + stopLimitMs * (1 - LAST_PART)
   const isAtWorkLast = endedAt >= lastPartFrom && (receipt.finishedAt === null || receipt.finishedAt >= lastPartFrom)
   return isAtWorkLast && sentAt <= signalledAt + stopLimitMs * EARLY_PART ? 'slow database' : null
--- a/soak/planned-workload.ts
+++ b/soak/planned-workload.ts
@@ -32,6 +32,7 @@
   sessions: number
   /** Habits among which each session draws one. */
   habits: readonly Habit[]
+  stalledMs: () => number
 }
 
 /** Time after SIGTERM in which the load balancer still sends callers to an instance, in milliseconds. */
@@ -55,7 +56,7 @@
 /** Starts sessions that use their connections until the connections end, as clients do around planned stops. */
 export function startPlannedWorkload (options: PlannedWorkloadOptions): Workload {
   const { random } = options
-  const history: History = { writes: [], sent: new Map(), violations: [], served: 0, notServed: 0 }
+  const history: History = { writes: [], sent: new Map(), violations: [], served: 0, notServed: 0, stalledMs: options.stalledMs }
   const state = { isStopping: false }
   const between = ([from, to]: [number, number]): number => from + random() * (to - from)
   const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)] as Item
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -16,6 +16,7 @@
 import { startPlannedWorkload } from './planned-workload.js'
 import type { Disturbance } from './schedule.js'
 import { runSchedule } from './schedule.js'
+import { startStallClock } from './stall-clock.js'
 import { STATEMENT_TIMEOUT_MS, startWorkload } from './workload.js'
 
 export interface SeedOptions {
@@ -55,7 +56,7 @@
   /** Answers without success by their code. */
   codes: Record<string, number>
   /** Longest time for which this program did not handle events, in milliseconds. Observed times are late by up to this time. */
-  longestDelayMs: number
+  longestStallMs: number
 }
 
 const ANNOUNCEMENT_INTERVAL_MS = 400
@@ -74,7 +75,6 @@
 /** Range of the work of a statement in milliseconds, and the longest work and its share, while stops are planned. */
 const WORK_MS = { shortest: 5, longest: 60, exceptional: 400, exceptionalShare: 0.03 }
 const UNREAD_SLACK_MS = 200
-const DELAY_PROBE_INTERVAL_MS = 20
 const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
 
 /**
@@ -156,12 +156,7 @@
   }
 
   const violations: string[] = []
-  let longestDelayMs = 0
-  let probedAt = Infinity
-  const delayProbe = setInterval(() => {
-    longestDelayMs = Math.max(longestDelayMs, Date.now() - probedAt - DELAY_PROBE_INTERVAL_MS)
-    probedAt = Date.now()
-  }, DELAY_PROBE_INTERVAL_MS)
+  const stallClock = startStallClock()
   let acknowledgedVersion = 0
   /** Replaces the configuration by ever higher versions. After a version was acknowledged, no instance may show a lower one. */
   async function replaceConfigurations (): Promise<void> {
@@ -197,14 +192,13 @@
     const configurationLoop = replaceConfigurations()
     const entries = fleet.instances.filter(({ role }) => role === 'entry')
     const databaseOf = new Map(groups.map((group) => [`db-${group.service}`, group]))
-    const workload = planned !== undefined ? startPlannedWorkload({ random, entries, workspaces, routes, ...planned }) : startWorkload({ random, entries, workspaces, databases: [...databaseOf.keys()], callers: 24, termOf: (database) => databaseOf.get(database)?.term() ?? 0, canLoseCommits: syncReplicas === 0 })
-    probedAt = Date.now()
+    const workload = planned !== undefined ? startPlannedWorkload({ random, entries, workspaces, routes, stalledMs: stallClock.totalMs, ...planned }) : startWorkload({ random, entries, workspaces, databases: [...databaseOf.keys()], callers: 24, stalledMs: stallClock.totalMs, termOf: (database) => databaseOf.get(database)?.term() ?? 0, canLoseCommits: syncReplicas === 0 })
     const onFault = (fault: string): void => {
       faults++
       appendFileSync(join(folder, 'faults.log'), `${new Date().toISOString()} ${fault}\n`)
     }
     const disturbances: Disturbance[] = []
-    if (planned !== undefined) await playPlannedStops({ random, fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
+    if (planned !== undefined) await playPlannedStops({ random: createRandom(seed + 2), fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
     else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], toleratedControls: Math.floor((options.controls - 1) / 2), onFault }, options.durationMs))
     await pause(SETTLE_MS)
     await checkStoredConfiguration()
@@ -231,11 +225,11 @@
       killedStops: fleet.stops.filter(({ endedBy }) => endedBy === 'SIGKILL').length,
       longestStopMs: Math.max(0, ...fleet.stops.map(({ signalledAt, exitedAt }) => (exitedAt ?? signalledAt) - signalledAt)),
       codes: countByName([...history.sent.values()].flatMap(({ answer }) => answer?.code ?? [])),
-      longestDelayMs
+      longestStallMs: stallClock.longestMs()
     }
   } finally {
     state.isStopping = true
-    clearInterval(delayProbe)
+    stallClock.stop()
     await stopAll(fleet, groups, [...proxies.values(), authorityProxy], authority)
     if (violations.length === 0 && options.keepsFolder !== true) rmSync(folder, { recursive: true, force: true })
   }
--- a/soak/workload.ts
+++ b/soak/workload.ts
@@ -37,12 +37,14 @@
   sentAt: number
   /** Time at which its answer was complete or its connection ended, in milliseconds since the Unix epoch; null before. */
   endedAt: number | null
+  /** Time that the caller waited, in milliseconds, less the time in which this program could not observe the end. */
+  waitedMs: number
   /** Its answer; null before it ends. */
   answer: Answer | null
 }
 
 /** A statement before it is sent. */
-export type PlannedStatement = Omit<SentStatement, 'answeredAt' | 'host' | 'sentAt' | 'endedAt' | 'answer'>
+export type PlannedStatement = Omit<SentStatement, 'answeredAt' | 'host' | 'sentAt' | 'endedAt' | 'waitedMs' | 'answer'>
 
 /** Statements, outcomes and violations that all callers observed together. */
 export interface History {
@@ -52,6 +54,8 @@
   violations: string[]
   served: number
   notServed: number
+  /** @returns time in which this program handled no events, in milliseconds */
+  stalledMs: () => number
 }
 
 /** Time limit of the routes for one statement, in milliseconds. */
@@ -61,13 +65,15 @@
  * Sends a statement and records it.
  * @param wireText - text to send, where it differs from the text that is compared with what a database ran
  */
-export async function sendStatement ({ sent }: History, connection: CallerConnection, statement: PlannedStatement, wireText = statement.text, options: QueryOptions = {}): Promise<Answer & { id: string }> {
+export async function sendStatement ({ sent, stalledMs }: History, connection: CallerConnection, statement: PlannedStatement, wireText = statement.text, options: QueryOptions = {}): Promise<Answer & { id: string }> {
   const id = `q${sent.size + 1}`
-  const record: SentStatement = { ...statement, answeredAt: null, host: connection.host, sentAt: Date.now(), endedAt: null, answer: null }
+  const record: SentStatement = { ...statement, answeredAt: null, host: connection.host, sentAt: Date.now(), endedAt: null, waitedMs: 0, answer: null }
+  const stalledBefore = stalledMs()
   sent.set(id, record)
   const answer = await connection.query(id, wireText, options)
   record.answer = answer
   record.endedAt = Date.now()
+  record.waitedMs = record.endedAt - record.sentAt - (stalledMs() - stalledBefore)
   if (answer.outcome === 'done' || answer.code !== null) record.answeredAt = record.endedAt
   return { id, ...answer }
 }
@@ -79,6 +85,7 @@
   workspaces: readonly { name: string, key: string }[]
   databases: readonly string[]
   callers: number
+  stalledMs: () => number
   /** @returns the term of the group that serves a database name; it rises with each promotion */
   termOf: (database: string) => number
   /** Whether a promotion may lose acknowledged commits. */
@@ -101,7 +108,7 @@
 /** Starts the callers. Only one session writes an item, so the session knows which value a later read must return. */
 export function startWorkload (options: WorkloadOptions): Workload {
   const { random } = options
-  const history: History = { writes: [], sent: new Map(), violations: [], served: 0, notServed: 0 }
+  const history: History = { writes: [], sent: new Map(), violations: [], served: 0, notServed: 0, stalledMs: options.stalledMs }
   const state = { isStopping: false }
   const valuesOf = new WeakMap<CallerConnection, string>()
   const databaseOf = new WeakMap<CallerConnection, string>()
--- a/test/soak/cut-statements.test.ts
+++ b/test/soak/cut-statements.test.ts
@@ -19,11 +19,13 @@
   end?: 'whole' | 'cut' | 'left'
   host?: string
   disturbance?: [number, number]
+  /** Time in which the soak itself handled no events. */
+  stalled?: number
 }
 
-function judge ({ sent, ended, received, finished, end = 'cut', host = HOST, disturbance }: CutCase): (string | null)[] {
+function judge ({ sent, ended, received, finished, end = 'cut', host = HOST, disturbance, stalled = 0 }: CutCase): (string | null)[] {
   const answer: Answer = { outcome: 'unknown', rows: [], code: null, end, partialBytes: 0, connectionError: null }
-  const statement: SentStatement = { text: 'COMMIT', workspace: 'w', beginsOperation: false, values: '', answeredAt: null, database: 'd', host, timeoutMs: 3000, sentAt: SIGTERM_AT + sent, endedAt: SIGTERM_AT + ended, answer }
+  const statement: SentStatement = { text: 'COMMIT', workspace: 'w', beginsOperation: false, values: '', answeredAt: null, database: 'd', host, timeoutMs: 3000, sentAt: SIGTERM_AT + sent, endedAt: SIGTERM_AT + ended, waitedMs: ended - sent - stalled, answer }
   const receipts = new Map(received === undefined ? [] : [['q1', { receivedAt: SIGTERM_AT + received, finishedAt: finished === undefined ? null : SIGTERM_AT + finished }]])
   const planned: PlannedStops = {
     stops: [{ host: HOST, signalledAt: SIGTERM_AT, exitedAt: null, endedBy: null }],
@@ -31,7 +33,7 @@
     stopLimitMs: 6000,
     unreadSlackMs: 200
   }
-  const history = { writes: [], sent: new Map([['q1', statement]]), violations: [], served: 0, notServed: 0 }
+  const history = { writes: [], sent: new Map([['q1', statement]]), violations: [], served: 0, notServed: 0, stalledMs: () => stalled }
   return listCutStatements(history, [{ receipts } as unknown as WireGroup], planned).map(({ excuse }) => excuse)
 }
 
@@ -50,6 +52,7 @@
   t.same(judge({ sent: 5050, ended: 5110, received: 5051, end: 'whole' }), [], 'it was answered')
   t.same(judge({ sent: 5050, ended: 5110, received: 5051, end: 'left' }), [], 'its caller left')
   t.same(judge({ sent: 2100, ended: 2299 }), ['not read'])
+  t.same(judge({ sent: 2100, ended: 2301, stalled: 2 }), ['not read'], 'its end was observed late')
   t.same(judge({ sent: 7000, ended: 7001, received: 7001 }), ['no planned stop'], 'it ended more than 1 s after the stop limit')
   t.same(judge({ sent: 5050, ended: 5110, received: 5051, host: '127.1.2.2' }), ['no planned stop'], 'another instance was stopped')
   t.same(judge({ sent: 2100, ended: 5110, received: 2101, finished: 2200 }), ['time limit of the route'])
