--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -32,7 +32,7 @@
 
 const NOT_KEPT_CODES = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'])
 /** A caller that waits longer for an answer closes its connection, unless it chooses another time. */
-const ANSWER_TIMEOUT_MS = 3000
+const DEFAULT_ANSWER_TIMEOUT_MS = 3000
 
 /** One session of a caller over the platform's wire protocol. */
 export interface CallerConnection {
@@ -51,7 +51,7 @@
  * @param answerTimeoutMs - time after which the caller gives up on an answer and closes its connection
  * @returns null if the session is refused or no answer arrives
  */
-export async function openCaller (host: string, port: number, database: string, key: string, answerTimeoutMs = ANSWER_TIMEOUT_MS): Promise<CallerConnection | null> {
+export async function openCaller (host: string, port: number, database: string, key: string, answerTimeoutMs = DEFAULT_ANSWER_TIMEOUT_MS): Promise<CallerConnection | null> {
   const socket: Socket = connect({ host, port, noDelay: true })
   let unparsed = ''
   let isOpen = true
