soak: planned stops in the test, and callers with long transactions

Cause: a stop cuts statements mostly in sessions with long transactions, which the planned mode drew rarely.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,7 +27,7 @@
   .option('--lend', 'databases accept so few connections that instances lend them to each other', false)
   .option('--planned', 'plays planned stops of entry instances and nothing unplanned', false)
   .option('--sessions <count>', 'sessions while stops are planned', '60')
-  .option('--habits <names>', 'habits of these sessions: usual, eager, pipelining, slow, half-closing', 'usual,usual,eager')
+  .option('--habits <names>', 'habits of these sessions: usual, long, eager, pipelining, slow, half-closing', 'usual,usual,eager')
   .option('--folder <path>', 'settings, data and logs of seeds that broke a promise', '.soak')
   .option('--keep', 'keeps the folders of all seeds', false)
 
--- a/soak/planned-workload.ts
+++ b/soak/planned-workload.ts
@@ -9,12 +9,13 @@
 /**
  * How a session sends its statements.
  * - `usual`: one at a time, with pauses
+ * - `long`: only transactions of the greatest length, with longer pauses
  * - `eager`: one at a time, the next one as soon as an answer arrives
  * - `pipelining`: several without waiting for answers
  * - `slow`: one at a time; it writes and reads large values, and begins to read late
  * - `half-closing`: like `usual`, and closes its direction of the connection after its last statement
  */
-export type Habit = 'usual' | 'eager' | 'pipelining' | 'slow' | 'half-closing'
+export type Habit = 'usual' | 'long' | 'eager' | 'pipelining' | 'slow' | 'half-closing'
 
 /** A route that sessions use. */
 export interface PlannedRoute {
@@ -39,6 +40,7 @@
 const BALANCER_REACTION_MS = 2000
 /** Shortest and longest pause between two statements, in milliseconds. */
 const PAUSE_MS: [number, number] = [20, 400]
+const LONG_PAUSE_MS: [number, number] = [200, 400]
 /** Smallest and largest number of statements of a transaction. */
 const TRANSACTION_STATEMENTS: [number, number] = [2, 12]
 /** Shares of the sessions that serve one operation, that set a value, and that prepare statements. */
@@ -103,13 +105,13 @@
     }
 
     async function pauseBetween (): Promise<void> {
-      if (habit !== 'eager' && habit !== 'pipelining') await pause(between(PAUSE_MS))
+      if (habit !== 'eager' && habit !== 'pipelining') await pause(between(habit === 'long' ? LONG_PAUSE_MS : PAUSE_MS))
     }
 
     async function runTransaction (): Promise<void> {
       const isReading = readsOnly || random() < 0.2
       const writes: History['writes'][number][] = []
-      const statementCount = Math.round(between(TRANSACTION_STATEMENTS))
+      const statementCount = habit === 'long' ? TRANSACTION_STATEMENTS[1] : Math.round(between(TRANSACTION_STATEMENTS))
       let { outcome } = await send(isReading ? 'BEGIN READ' : 'BEGIN', { beginsOperation: true })
       if (outcome !== 'done') return
       for (let sent = 2; sent < statementCount && outcome === 'done'; sent++) {
@@ -139,7 +141,7 @@
     for (let operation = 1; operation <= operations && connection.isOpen() && !state.isStopping; operation++) {
       await pauseBetween()
       const closesAfterSending = habit === 'half-closing' && random() < 0.1
-      if (random() < 0.3) await runTransaction()
+      if (habit === 'long' || random() < 0.3) await runTransaction()
       else if (habit === 'pipelining') await Promise.all(Array.from({ length: 2 + Math.floor(random() * 4) }, () => sendData(false)))
       else await sendData(false, { closesAfterSending })
       if (closesAfterSending) break
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -14,6 +14,7 @@
 import { playPlannedStops } from './planned-stops.js'
 import type { Habit, PlannedRoute } from './planned-workload.js'
 import { startPlannedWorkload } from './planned-workload.js'
+import { reserveNetwork } from './reserve-network.js'
 import type { Disturbance } from './schedule.js'
 import { runSchedule } from './schedule.js'
 import { startStallClock } from './stall-clock.js'
@@ -34,7 +35,7 @@
   /** Folder for settings, data and logs of this seed. It is removed if no promise was broken, unless `keepsFolder` is set. */
   folder: string
   keepsFolder?: boolean
-  /** Second byte of all loopback addresses. Seeds that run at the same time need different values. */
+  /** Preferred second byte of all loopback addresses. Another one is taken when a run on this machine uses it. */
   network: number
 }
 
@@ -83,7 +84,8 @@
  * @throws Error if the first configuration is not acknowledged within 30 s
  */
 export async function runSeed (options: SeedOptions): Promise<SeedResult> {
-  const { seed, folder, network } = options
+  const { seed, folder } = options
+  const { network, release } = await reserveNetwork(options.network)
   const random = createRandom(seed)
   mkdirSync(folder, { recursive: true })
   const syncReplicas = random() < 0.5 ? 0 : 1
@@ -231,6 +233,7 @@
     state.isStopping = true
     stallClock.stop()
     await stopAll(fleet, groups, [...proxies.values(), authorityProxy], authority)
+    release()
     if (violations.length === 0 && options.keepsFolder !== true) rmSync(folder, { recursive: true, force: true })
   }
 }
