--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -13,7 +13,8 @@
   failureDomain: name,
   startedAt: z.number(),
   role: z.enum(['primary', 'replica']),
-  state: z.enum(['ready', 'departing', 'gone'])
+  state: z.enum(['ready', 'departing', 'gone']),
+  unconfirmed: z.literal(true).optional()
 })
 
 const command = z.discriminatedUnion('kind', [
@@ -21,7 +22,7 @@
   z.object({ kind: z.literal('commit-manifest'), base: count, manifest: z.looseObject({}), digest: name, operator: z.string() }),
   z.object({ kind: z.literal('adopt-manifest'), version: count, manifest: z.looseObject({}), document: z.string(), digest: name, operator: z.string() }),
   z.object({ kind: z.literal('set-failure-domain'), failureDomain: name, out: z.boolean() }),
-  z.object({ kind: z.literal('record-database'), database: databaseRecord }),
+  z.object({ kind: z.literal('record-database'), database: databaseRecord, superseded: z.array(z.object({ database: name, startedAt: z.number() })).optional() }),
   z.object({ kind: z.enum(['record-instance', 'forget-instance']), instance: name }),
   z.object({ kind: z.literal('begin-election'), group: name, term: count }),
   z.object({ kind: z.literal('set-primary'), group: name, term: count, database: name }),
@@ -73,6 +74,7 @@
   }).refine((append) => append.entries.every((item, position) => item.index === append.previousIndex + 1 + position)),
   z.object({ ...header, kind: z.literal('append-answer'), round: count, accepted: z.boolean(), matchIndex: count, nextIndex: count }),
   z.object({ ...header, kind: z.literal('snapshot'), entryAddress: name, round: count, snapshot }),
+  z.object({ ...header, kind: z.literal('resignation'), successor: name }),
   z.object({ ...probe, kind: z.literal('probe'), forwarded: z.boolean().optional() }),
   z.object({ ...probe, kind: z.literal('probe-answer'), to: name })
 ])
--- a/src/decisions/membership/database-registry.ts
+++ b/src/decisions/membership/database-registry.ts
@@ -6,6 +6,8 @@
 import type { DatabaseObservation } from '../../types/control-message.js'
 import type { Announcement, DatabaseIncarnation, DatabaseStatus } from '../../types/database-status.js'
 import type { DatabaseId } from '../../types/ids.js'
+import type { SupersededRecord } from '../../types/replicated-state.js'
+import { createContinuedReports, DEFAULT_ANNOUNCEMENT_INTERVAL_MS, RUNNING_INTERVALS } from './continued-reports.js'
 import { createRetiredIncarnations } from './retired-incarnations.js'
 
 /** A database whose announcements name no `run` stays departing until none of them has said so for this time: two announcement intervals. */
@@ -15,9 +17,18 @@
 /** A departing database without a status for this time is removed. */
 export const DEPARTED_EXPIRY_MS = 10_000
 
+/**
+ * Announcement intervals after which a database is removed that has announced itself once and never answered, as an entry of another writer
+ * does. Until then an election may wait for it, since a database may hold acknowledged writes. Longer than the partitions that have been
+ * seen to keep announcements away.
+ */
+const UNCONFIRMED_INTERVALS = 30
+
 export interface DatabaseRegistryOptions {
   blackboard: Blackboard
   clock: Clock
+  /** Time between two announcements of a database, in milliseconds. Default 1000. */
+  announcementIntervalMs?: number
 }
 
 /**
@@ -33,13 +44,16 @@
   /**
    * Handles an announcement.
    * @param ageMs - time since the announcement reached an instance, in ms; default 0
+   * @param superseded - incarnations that the announcing database has replaced, whatever their start; default none
    * @returns what changed
    */
-  announce: (announcement: Announcement, ageMs?: number) => AnnouncementOutcome
+  announce: (announcement: Announcement, ageMs?: number, superseded?: readonly SupersededRecord[]) => AnnouncementOutcome
   /** Handles the status of a database that a connection holder reported. */
   observe: (observation: DatabaseObservation) => void
   /** Handles the status in the answer of a database to an order. */
   answered: (status: DatabaseStatus) => void
+  /** Removes databases that are still unconfirmed after `UNCONFIRMED_INTERVALS`. @returns the databases that this call removed */
+  removeUnconfirmed: () => DatabaseId[]
   /** Removes departed databases. @returns the databases that this call removed */
   tick: () => DatabaseId[]
   /** Clears the registry. The coordinator calls it at each change of leadership. */
@@ -48,9 +62,10 @@
 
 /** Creates the registry of the databases that have announced themselves. It publishes them in the blackboard entry `registeredDatabasesEntry`. */
 export function createDatabaseRegistry (options: DatabaseRegistryOptions): DatabaseRegistry {
-  const { blackboard, clock } = options
+  const { blackboard, clock, announcementIntervalMs = DEFAULT_ANNOUNCEMENT_INTERVAL_MS } = options
   const entry = blackboard.claim(registeredDatabasesEntry, 'database-registry')
   const retiredIncarnations = createRetiredIncarnations<DatabaseId>()
+  const continuedReports = createContinuedReports({ clock, announcementIntervalMs })
   const lastDepartingAt = new Map<DatabaseId, Milliseconds>()
   let databases = new Map<DatabaseId, RegisteredDatabase>()
   entry.write(databases)
@@ -66,8 +81,9 @@
     return true
   }
 
-  function announce (announcement: Announcement, ageMs = 0): AnnouncementOutcome {
+  function announce (announcement: Announcement, ageMs = 0, superseded: readonly SupersededRecord[] = []): AnnouncementOutcome {
     const { database, status } = announcement
+    removeSuperseded(superseded)
     const known = databases.get(database)
     const receivedAt = milliseconds(clock.now() - ageMs)
     // A repeated announcement must not replace newer information, nor count as a new announcement.
@@ -86,25 +102,42 @@
     const { database, departing, status } = announcement
     const known = databases.get(database)
     const last = known?.announcement.run
-    if (last !== undefined && (run.startedAt < last.startedAt || (run.startedAt === last.startedAt && run.sequence <= last.sequence))) return 'ignored'
+    if (last !== undefined && run.startedAt < last.startedAt) return 'ignored'
+    const isLate = last?.startedAt === run.startedAt && run.sequence <= last.sequence
+    if (isLate && !run.gone && !isSequenceWrong(known, announcement, run)) return handleLateAnnouncement(known, announcement)
     if (run.gone) {
       databases.delete(database)
       entry.write(databases)
       return known === undefined ? 'ignored' : 'departing'
     }
-    removeReplacedDatabases(announcement, run)
-    databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt })
+    const isConfirmed = run.sequence < 0 || last?.startedAt === run.startedAt
+    databases.set(database, { announcement, departing, announcedAt: receivedAt, status, statusAt: receivedAt, ...(isConfirmed ? {} : { isUnconfirmed: true }) })
     entry.write(databases)
     const outcome = determineOutcome(known, announcement, departing)
     const isRoleNew = known !== undefined && known.announcement.status.role !== status.role
     return outcome === 'unchanged' && isRoleNew ? 'role-changed' : outcome
   }
 
-  /** Removes databases of another name and an earlier incarnation at the same address: the announcing database has replaced them. */
-  function removeReplacedDatabases ({ database, address }: Announcement, run: DatabaseIncarnation): void {
-    for (const [other, { announcement }] of databases) {
-      const isEarlier = announcement.run !== undefined && announcement.run.startedAt < run.startedAt
-      if (other !== database && announcement.address === address && isEarlier) databases.delete(other)
+  /**
+   * Whether the highest sequence that is known of the incarnation is wrong, such as one of another writer: whoever sent it is silent, and
+   * the incarnation goes on announcing itself with lower ones.
+   */
+  function isSequenceWrong (known: RegisteredDatabase | undefined, announcement: Announcement, run: DatabaseIncarnation): boolean {
+    const isSilent = known !== undefined && clock.now() - known.announcedAt >= announcementIntervalMs * RUNNING_INTERVALS
+    return continuedReports.record(announcement, run) && isSilent
+  }
+
+  /** Only a departure still counts when it is late, as an incarnation that departs does not return. */
+  function handleLateAnnouncement (known: RegisteredDatabase | undefined, { database, departing }: Announcement): AnnouncementOutcome {
+    if (known === undefined || !departing || known.departing) return 'ignored'
+    databases.set(database, { ...known, announcement: { ...known.announcement, departing }, departing })
+    entry.write(databases)
+    return 'departing'
+  }
+
+  function removeSuperseded (superseded: readonly SupersededRecord[]): void {
+    for (const { database, startedAt } of superseded) {
+      if (databases.get(database)?.announcement.run?.startedAt === startedAt) databases.delete(database)
     }
   }
 
@@ -115,7 +148,29 @@
     entry.write(databases)
   }
 
+  function confirm (database: DatabaseId): void {
+    const known = databases.get(database)
+    if (known?.isUnconfirmed === undefined) return
+    const { isUnconfirmed, ...confirmed } = known
+    databases.set(database, confirmed)
+    entry.write(databases)
+  }
+
+  function answered (status: DatabaseStatus): void {
+    confirm(status.database)
+    updateStatus(status, clock.now())
+  }
+
+  function removeUnconfirmed (): DatabaseId[] {
+    const oldest = clock.now() - announcementIntervalMs * UNCONFIRMED_INTERVALS
+    const removed = [...databases.values()].filter(({ isUnconfirmed, announcedAt }) => isUnconfirmed === true && announcedAt < oldest).map(({ announcement }) => announcement.database)
+    for (const database of removed) databases.delete(database)
+    if (removed.length > 0) entry.write(databases)
+    return removed
+  }
+
   function observe (observation: DatabaseObservation): void {
+    if (observation.silentForMs === 0) confirm(observation.database)
     if (observation.status === null) return
     updateStatus(observation.status, milliseconds(clock.now() - observation.silentForMs))
   }
@@ -131,10 +186,11 @@
   function reset (): void {
     databases = new Map()
     lastDepartingAt.clear()
+    continuedReports.reset()
     entry.write(databases)
   }
 
-  return { announce, observe, answered: (status) => updateStatus(status, clock.now()), tick, reset }
+  return { announce, observe, answered, removeUnconfirmed, tick, reset }
 }
 
 function determineOutcome (known: RegisteredDatabase | undefined, announcement: Announcement, departing: boolean): AnnouncementOutcome {
--- a/test/adapters/logs/create-line-writer.test.ts
+++ b/test/adapters/logs/create-line-writer.test.ts
@@ -40,3 +40,9 @@
   writer.writeQueuedLines()
   t.same(written, ['last line\n'])
 })
+
+t.test('the queue is bounded in bytes, also when characters have several', async (t) => {
+  const writer = createLineWriter({ now: () => 0, burst: 1000, maxQueuedBytes: 100, composeDroppedLine: () => '', writeText: () => {} })
+  for (let line = 0; line < 500; line++) writer.write('ợ'.repeat(9))
+  t.equal(writer.countDropped(), 496)
+})
