--- a/src/entry/session-instance.ts
+++ b/src/entry/session-instance.ts
@@ -116,7 +116,7 @@
   const manifest = blackboard.reader(manifestEntry)
   const directory = blackboard.reader(directoryEntry)
   const freshness = blackboard.reader(freshnessEntry)
-  const plannedStop = createPlannedStop({ clock, blackboard })
+  const plannedStop = createPlannedStop({ clock: monotonicClock, blackboard })
   const incarnation = incarnationId(`${instance}.${randomBytes(INCARNATION_BYTES).toString('base64url')}`)
   const metrics = createMetrics()
   const health = createDatabaseHealth(clock)
--- a/test/platform/stopping-process.test.ts
+++ b/test/platform/stopping-process.test.ts
@@ -14,6 +14,8 @@
 /** The process answers or ends long before, also on a busy machine. */
 const ANSWER_TIMEOUT_MS = 100_000
 
+const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
+
 let idCount = 0
 const nextId = (): string => (++idCount).toString(16).padStart(16, '0')
 
@@ -28,7 +30,7 @@
 
 /** Sends a statement until it is done: before the instance has a share of the rate, it refuses operations. */
 async function runUntilDone (caller: CallerConnection, text: string): Promise<void> {
-  while ((await caller.query(nextId(), text)).outcome !== 'done') await new Promise((resolve) => { setTimeout(resolve, 50) })
+  while ((await caller.query(nextId(), text)).outcome !== 'done') await pause(50)
 }
 
 /** Runs statements in an open transaction, each as soon as the one before is answered, until one is not done. */
@@ -68,3 +70,22 @@
   t.same(answers.map(({ code }) => code), ['ABORTED', 'UNKNOWN', 'UNKNOWN'])
   t.same(await exited, { code: 0, signal: null })
 })
+
+t.test('a process that stands still as it closes sessions at rest answers what has arrived meanwhile', async (t) => {
+  const processes = await startProcessFleet((callback) => { t.teardown(callback) }, { stopLimitSeconds: STOP_LIMIT_SECONDS, statementTimeoutMs: STATEMENT_TIMEOUT_MS })
+  const callers = await Promise.all(Array.from({ length: ENDLESS_TRANSACTIONS }, async () => await openSession(processes)))
+  for (const caller of callers) await runUntilDone(caller, 'READ item')
+  const exited = processes.waitForExit(processes.entry)
+  processes.fleet.signal(processes.entry, 'SIGTERM')
+  // The process closes sessions at rest after 0.4 of the stop limit.
+  await pause(STOP_LIMIT_SECONDS * 400 - 60)
+  processes.fleet.signal(processes.entry, 'SIGSTOP')
+  const ended = callers.map(async (caller): Promise<Answer> => {
+    const begun = await caller.query(nextId(), 'BEGIN')
+    return begun.outcome === 'done' ? await writeUntilRefused(caller) : begun
+  })
+  await pause(150)
+  processes.fleet.signal(processes.entry, 'SIGCONT')
+  t.same((await Promise.all(ended)).filter(isLost), [])
+  t.same(await exited, { code: 0, signal: null })
+})
