sessions: an interrupted statement is not sent any more, and an unexpected error closes its connection

What callers could see: nothing false, but a statement reached a database after its caller had been answered (a write behind the begin of its transaction, a single statement behind a session value), against design.md, section 5.9. After an unexpected error in a transaction its connection stayed open, with the transaction, and held up a change of primary.

Cause: the interruption answered the caller and did not reach the connection; the error left the transaction marked as running for good.

Change: a connection asks right before it sends whether the statement was cancelled; the end of an interrupted operation is not logged a second time; an error discards the connection and ends the transaction.

Tests: four in stopping-instance.test.ts; all four failed before.

--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -48,7 +48,7 @@
 export function openCallerSession (services: SessionServices, endpointName: string, keyDigest: string | null): CallerSession | SessionRefusal {
   const initialGrant = services.authorize(endpointName, keyDigest)
   if ('promise' in initialGrant) return initialGrant
-  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null, database: null }
+  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null, database: null, isInterrupted: false }
   let transaction: SessionTransaction | null = null
   let isRunning = false
   let isClosed = false
@@ -142,6 +142,7 @@
     return await new Promise((resolve, reject) => {
       interruptStatement = () => {
         const refusal = buildInterruptionRefusal(canCommitWrite(statement))
+        context.isInterrupted = true
         close()
         services.logEvent('statementInterrupted', { requestId: id, kind: statement.kind, database: context.database, promise: refusal.promise })
         settle(() => { resolve(toAnswer({ kind: 'refused', refusal }, true)) })
--- a/src/decisions/caller-sessions/pooled-session.ts
+++ b/src/decisions/caller-sessions/pooled-session.ts
@@ -38,7 +38,7 @@
     const applied = await applyValues(request.values)
     if (applied.isErr()) return err(applied.error)
     // Nothing may wait between this check and the write to the database.
-    if (clock.now() >= sendBy) return ok(buildUnsentReply())
+    if (clock.now() >= sendBy || request.isCancelled?.() === true) return ok(buildUnsentReply())
     const result = request.statement.kind === 'execute'
       ? await executePrepared(request, request.statement)
       : await session.run({ id: request.id, statement: request.statement, after: request.after })
@@ -47,7 +47,7 @@
   }
 
   function buildUnsentReply (): DatabaseReply {
-    return { rows: [], outcome: { kind: 'error', error: 'not-sent', message: 'the statement was not sent, since its time limit had passed' }, state, position: null }
+    return { rows: [], outcome: { kind: 'error', error: 'not-sent', message: 'the statement was not sent, since its time limit had passed or its caller was answered' }, state, position: null }
   }
 
   /** Makes the values of the connection equal to those of the caller's session. No statement may run before the database has confirmed them. */
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -29,6 +29,8 @@
   readonly rollbackTimeoutMs: number
   /** Position of the session's last commit; null before the first. */
   position: LogPosition | null
+  /** Whether the statement in progress was given its last answer. Nothing is sent for it any more. */
+  isInterrupted: boolean
   /** Database of the connection in use; null while the session uses none. */
   database: DatabaseId | null
 }
@@ -85,7 +87,9 @@
 }
 
 /** Records the end of an operation in the metrics and the log, with the details of its decisions. */
-export function recordFinishedOperation ({ services }: SessionContext, grant: SessionGrant, id: string, startedAt: Milliseconds, refusal: SessionRefusal | null, acquired: AcquiredConnection | null, details: DecisionDetails): void {
+export function recordFinishedOperation ({ services, isInterrupted }: SessionContext, grant: SessionGrant, id: string, startedAt: Milliseconds, refusal: SessionRefusal | null, acquired: AcquiredConnection | null, details: DecisionDetails): void {
+  // The interruption was logged in place of the end.
+  if (isInterrupted) return
   const durationMs = services.clock.now() - startedAt
   const servedBy = acquired === null ? null : acquired.isPrimary ? 'primary' : 'replica'
   services.onFinished({ workspace: grant.workspace, endpoint: grant.endpoint, refusal, servedBy, durationMs })
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -84,6 +84,14 @@
     else rollBackAndRelease(context, last.pooled).catch(() => {})
   }
 
+  /** Closes the connection after an unexpected error, since its state is not known. The database rolls back. */
+  function discardConnection (): void {
+    isRunning = false
+    state = 'ended'
+    if (held !== null) pool.discard(held.pooled)
+    releaseConnection(false)
+  }
+
   /** Marks the transaction as failed, or as ended when its commit failed, and releases its connection. */
   function fail (kind: TransactionStatementKind): void {
     if (state !== 'ended') state = kind === 'commit' ? 'ended' : 'failed'
@@ -103,7 +111,10 @@
     }
     cancelIdleTimer()
     isRunning = true
-    const answer = await runAuthorized(grant, id, statement, kind, arrivedAt)
+    const answer = await runAuthorized(grant, id, statement, kind, arrivedAt).catch((error: unknown) => {
+      discardConnection()
+      throw error
+    })
     isRunning = false
     if (state === 'open') restartIdleTimer()
     else if (held !== null) releaseConnection(false)
@@ -169,7 +180,7 @@
     if ('promise' in connection) return endWithRefusal(grant, id, kind, connection, null)
     const acquired = refreshPrimaryEvidence(services, connection)
     const limitMs = Math.max(MIN_RUN_MS, arrivedAt + grant.endpoint.statementTimeoutMs - clock.now())
-    const result = await runStatement(services, acquired.pooled, { id, statement, after: null, values, limitMs, isLast: kind === 'commit' })
+    const result = await runStatement(services, acquired.pooled, { id, statement, after: null, values, limitMs, isCancelled: () => context.isInterrupted, isLast: kind === 'commit' })
     const canCommitWrite = kind === 'commit' && hasWritten
     if (result.isErr()) return endWithRefusal(grant, id, kind, buildLossRefusal(result.error.message, canCommitWrite), acquired)
     const { reply, sentAt } = result.value
--- a/src/decisions/caller-sessions/single-statement.ts
+++ b/src/decisions/caller-sessions/single-statement.ts
@@ -51,7 +51,7 @@
   context.database = acquired.pooled.database
   const primaryWork = isWrite ? services.access.registerWork(acquired.group, () => {}) : null
   try {
-    const result = await runStatement(services, acquired.pooled, { id, statement, after: acquired.after, values, limitMs: Math.max(MIN_RUN_MS, computeRemainingMs(context, requirements)), isLast: !acquired.hasGuardTransaction })
+    const result = await runStatement(services, acquired.pooled, { id, statement, after: acquired.after, values, limitMs: Math.max(MIN_RUN_MS, computeRemainingMs(context, requirements)), isCancelled: () => context.isInterrupted, isLast: !acquired.hasGuardTransaction })
     if (result.isErr()) return handleLoss(context, requirements, acquired, result.error.message)
     const { reply, sentAt } = result.value
     recordReplyPosition(context, acquired, reply, sentAt, isWrite)
@@ -59,7 +59,7 @@
     else releaseOrDiscard(context, acquired.pooled, reply)
     if (reply.outcome.kind === 'done') return { kind: 'answered', outcome: { kind: 'done', rows: reply.rows, proof: reply.outcome.proof } }
     const { error, message } = reply.outcome
-    if (!hasNotRun(error) || computeRemainingMs(context, requirements) < MIN_RUN_MS * 2) return { kind: 'answered', outcome: { kind: 'refused', refusal: buildReplyRefusal(error, message, isWrite) } }
+    if (context.isInterrupted || !hasNotRun(error) || computeRemainingMs(context, requirements) < MIN_RUN_MS * 2) return { kind: 'answered', outcome: { kind: 'refused', refusal: buildReplyRefusal(error, message, isWrite) } }
     return { kind: 'retry', cause: error, pauseMs: recordDatabaseRefusal(context, error, requirements, acquired) }
   } finally {
     primaryWork?.end()
--- a/src/decisions/caller-sessions/statement-runner.ts
+++ b/src/decisions/caller-sessions/statement-runner.ts
@@ -29,6 +29,8 @@
   limitMs: number
   /** Time from which the statement must not be sent to a database, since its sender may have stopped waiting. Default: the end of `limitMs`. */
   sendBy?: Milliseconds
+  /** @returns whether the statement must not be sent any more, since its caller was answered in its place. Default: it may be sent. */
+  isCancelled?: () => boolean
   /** Whether the session releases the connection after the answer, if the connection is then outside of any transaction. */
   isLast: boolean
 }
--- a/src/types/stop-stage.ts
+++ b/src/types/stop-stage.ts
@@ -3,7 +3,7 @@
  * - `none`: no stop was ordered
  * - `announced`: the readiness probe fails and no connection is lent any more; callers are served
  * - `closing`: no caller is accepted, and sessions at rest are closed; open transactions go on
- * - `refusing`: no statement is sent to a database; what was sent before may still be answered
+ * - `refusing`: no statement is accepted; what was accepted before is still run and answered
  * - `answering`: statements in progress get their last answer, and all sessions are closed
  * - `over`: the process ends
  */
--- a/test/decisions/caller-sessions/stopping-instance.test.ts
+++ b/test/decisions/caller-sessions/stopping-instance.test.ts
@@ -111,3 +111,42 @@
   t.equal(promiseOf(await session.handle('3', write)), 'ran')
   t.equal(promiseOf(await session.handle('4', commit)), 'unknown')
 })
+
+const unsent: { title: string, before: SessionStatement[], statement: SessionStatement, waitsFor: string }[] = [
+  { title: 'a write behind the begin of its transaction', before: [begin], statement: write, waitsFor: 'begin' },
+  { title: 'a single write behind a session value', before: [{ kind: 'set', name: 'n', value: 'v' }], statement: write, waitsFor: 'set' },
+  { title: 'a single read behind a session value', before: [{ kind: 'set', name: 'n', value: 'v' }], statement: read, waitsFor: 'set' }
+]
+for (const { title, before, statement, waitsFor } of unsent) {
+  t.test(`an interrupted statement that was not sent yet is never sent: ${title}`, async (t) => {
+    const harness = createSessionHarness('primary')
+    const session = harness.open()
+    for (const earlier of before) await session.handle('1', earlier)
+    harness.database('p').answerDelayMs = 100
+    const answered = session.handle('2', statement)
+    await harness.advance(50)
+    t.equal(harness.database('p').received.at(-1)?.statement.kind, waitsFor)
+    session.interrupt()
+    await answered
+    await harness.advance(1000)
+    t.same(harness.statementKindsAt('p'), [])
+    t.notOk(harness.events.some(({ name }) => name === 'operationFinished'))
+  })
+}
+
+t.test('an unexpected error in a transaction closes its connection instead of leaving the transaction open', async (t) => {
+  const harness = createSessionHarness('primary')
+  const session = harness.open()
+  await session.handle('1', begin)
+  await session.handle('2', read)
+  harness.database('p').react = ({ id }) => {
+    if (id === '3') throw new Error('unexpected')
+    return undefined
+  }
+  harness.services.logEvent = () => { throw new Error('unexpected') }
+  await t.rejects(session.handle('3', commit))
+  t.equal(session.isBusy(), true, 'the session is closed by its connection')
+  session.close()
+  await harness.settle()
+  t.same(harness.services.pool.counts(), { open: 0, idle: 0, waiting: 0 })
+})
