--- a/test/decisions/caller-sessions/stopping-instance.test.ts
+++ b/test/decisions/caller-sessions/stopping-instance.test.ts
@@ -138,15 +138,12 @@
   const harness = createSessionHarness('primary')
   const session = harness.open()
   await session.handle('1', begin)
-  await session.handle('2', read)
-  harness.database('p').react = ({ id }) => {
-    if (id === '3') throw new Error('unexpected')
-    return undefined
-  }
-  harness.services.logEvent = () => { throw new Error('unexpected') }
-  await t.rejects(session.handle('3', commit))
-  t.equal(session.isBusy(), true, 'the session is closed by its connection')
+  await session.handle('2', write)
+  const { history } = harness.services.access
+  harness.services.access.history = () => { throw new Error('unexpected') }
+  await t.rejects(session.handle('3', write))
+  harness.services.access.history = history
   session.close()
-  await harness.settle()
-  t.same(harness.services.pool.counts(), { open: 0, idle: 0, waiting: 0 })
+  await harness.advance(1000)
+  t.equal(harness.services.pool.counts().open, 0)
 })
