http: a request that has arrived is answered before a closing server ends its connection

What callers could see: in the HTTP programs, a second request on a kept connection that had reached the machine as the server began to close was reset (ECONNRESET). Found by the review, as the same cause as in the wire server: rest was judged by what had been read.

Change: the event loop reads once more before the server closes; the function is shared with the wire server.

Test: in caller-server.test.ts, failed before (1 of 2 requests answered). The operator server has the same line and no test of its own.

--- a/src/adapters/http/caller-server.ts
+++ b/src/adapters/http/caller-server.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { fastify } from 'fastify'
 import type { Result } from 'neverthrow'
+import { afterNextRead } from '../sockets/after-next-read.js'
 import type { CallerOperation, ServeCaller, CallerAnswer } from '../../types/caller-request.js'
 import type { Announcement } from '../../types/database-status.js'
 import type { LogEvent } from '../../types/log-event.js'
@@ -151,6 +152,8 @@
     },
     close: async () => {
       isClosing = true
+      // Closing ends connections that are at rest as far as the server has read.
+      await new Promise<void>(afterNextRead)
       await app.close()
     },
     abort: async () => {
--- a/src/adapters/http/operator-server.ts
+++ b/src/adapters/http/operator-server.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs'
+import { afterNextRead } from '../sockets/after-next-read.js'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { fastify } from 'fastify'
 import type { Result } from 'neverthrow'
@@ -107,6 +108,10 @@
     reloadTls: () => {
       if (options.tls !== null && 'setSecureContext' in app.server) (app.server as { setSecureContext: (pair: unknown) => void }).setSecureContext(readKeyPair(options.tls))
     },
-    close: async () => { await app.close() }
+    close: async () => {
+      // Closing ends connections that are at rest as far as the server has read.
+      await new Promise<void>(afterNextRead)
+      await app.close()
+    }
   }
 }
--- a/test/adapters/http/caller-server.test.ts
+++ b/test/adapters/http/caller-server.test.ts
@@ -1,7 +1,9 @@
+import { connect } from 'node:net'
 import t, { type Test } from 'tap'
 import { listenForCallers, type CallerServer } from '../../../src/adapters/http/caller-server.js'
 import type { CallerAnswer } from '../../../src/types/caller-request.js'
 import { entrySettingsSchema } from '../../../src/settings/entry-settings.js'
+import { blockEventLoop } from '../../support/block-event-loop.js'
 
 const { limits } = entrySettingsSchema.parse({
   instance: 'a',
@@ -74,3 +76,25 @@
   await ended
   release()
 })
+
+t.test('a request that has arrived and was not read when the server closes is answered', async (t: Test) => {
+  const { server, release } = await startServer()
+  release()
+  const socket = connect(server.port, '127.0.0.1')
+  let text = ''
+  const ended = new Promise<void>((resolve) => { socket.on('close', () => { resolve() }) })
+  const body = JSON.stringify({ statement: 'select 1' })
+  const message = `POST /v1/statements HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+  await new Promise<void>((resolve) => {
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1')
+      resolve()
+    })
+    socket.write(message)
+  })
+  socket.write(message)
+  blockEventLoop(50)
+  await server.close()
+  await ended
+  t.equal(text.match(/HTTP\/1\.1 200/g)?.length, 2)
+})
