process: a reload of TLS files that fails does not end the process

What callers could see: all requests of an HTTP instance cut off, when SIGHUP came while a certificate was half written. Found by the review.

Cause: the error of the file was thrown in the handler of the signal.

Change: it is reported, and the former files stay in use.

Test: run-binary.test.ts, not run on the code before.

--- a/src/adapters/process/run-binary.ts
+++ b/src/adapters/process/run-binary.ts
@@ -53,5 +53,12 @@
   }
   process.on('SIGTERM', () => { drain() })
   process.on('SIGINT', () => { drain() })
-  process.on('SIGHUP', running.reloadTls)
+  process.on('SIGHUP', () => {
+    try {
+      running.reloadTls()
+    } catch (error) {
+      // The signal may come while a file is being replaced. An uncaught error would end the process with all its requests.
+      console.error(`${resultCodes.settingsInvalid.code} ${resultCodes.settingsInvalid.name}: the TLS files can not be used, the former ones stay in use: ${(error as Error).message}`)
+    }
+  })
 }
