--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -13,7 +13,7 @@
 const FAULTS_MS = 8000
 /** Seeds, time and sessions of the planned stops. Add each seed that fails, with a comment on the cause. */
 const PLANNED_SEEDS = [{ seed: 4, lendsConnections: false }, { seed: 5, lendsConnections: true }]
-const STOPS_MS = 4000
+const STOPS_MS = 7000
 const PLANNED = { sessions: 160, habits: ['usual', 'long'] } as const
 
 /** A process that SIGHUP ended: the program had not yet run so far as to handle it. */
