--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -20,11 +20,11 @@
   switchoverTimeoutMs: number
   /** Interval between the position queries of a switchover. Default 60. */
   positionQueryIntervalMs: number
-  /** Where commits wait for replicas, an election waits this long after the end of a database for a successor that has its log. Default 10000: a successor starts within a few seconds. */
+  /** Where commits wait for replicas, an election waits this long after the end of a database for a successor that has its log. Default 10000. */
   endedWaitMs: number
   /**
    * Where commits wait for replicas, an election waits for the position of a database that has given no sign for less than this time.
-   * Default 20000: more than twice the longest outage of a database that came back, 9 s.
+   * Default 20000.
    */
   absentWaitMs: number
   /** How long the first start of a group waits for a running primary to announce itself. Default 4000. */
