promotion: the log records which replicas an election can do without

Without a restart, a replica lost 5 s before its primary, or two primaries lost one after the other, left the group without one for 13.8 to 14.6 s.

Cause: that a database is gone was known in the leader's memory only, and its only evidence was 20 s without a sign. The position of a database that is gone counted as missing in each election until then.

Change: a replica without a sign for two announcement intervals is asked for its status. If nothing listens at its address, or another database does, its process has ended and its log goes no further than the position of the primary at that time. Once another replica has that position, the record of the database says `absent`, and elections do not wait for it, also those of later leaders. A replica that merely does not answer is not given up before 20 s: the primary may still acknowledge commits because of it. That too is recorded now. Any sign of the database ends the record.

Why it works: an acknowledged commit is in the log of the primary and of a replica. What an ended replica holds is held by the other one, and what comes later rests on others. The checks of databases that have left as planned are the same and are kept for each database now.

Tests: control/absent-replicas.test.ts.

--- a/src/control/consensus-message-schema.ts
+++ b/src/control/consensus-message-schema.ts
@@ -15,7 +15,8 @@
   role: z.enum(['primary', 'replica']),
   state: z.enum(['ready', 'departing', 'gone']),
   unconfirmed: z.literal(true).optional(),
-  replacedIn: count.optional()
+  replacedIn: count.optional(),
+  absent: z.literal(true).optional()
 })
 
 const command = z.discriminatedUnion('kind', [
--- a/src/decisions/membership/announcement-classification.ts
+++ b/src/decisions/membership/announcement-classification.ts
@@ -83,7 +83,7 @@
 }
 
 function isSameRecord (left: DatabaseRecord, right: DatabaseRecord): boolean {
-  return left.unconfirmed === right.unconfirmed && (Object.keys(right) as (keyof DatabaseRecord)[]).every((key) => left[key] === right[key])
+  return left.unconfirmed === right.unconfirmed && left.absent === right.absent && (Object.keys(right) as (keyof DatabaseRecord)[]).every((key) => left[key] === right[key])
 }
 
 /** @returns the announcement that a new leader uses for a recorded database until that database announces itself again */
--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -7,10 +7,11 @@
 import type { GroupMember } from '../failover/group-view.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
+import { isAbsent, isPositionNeeded } from './database-absence.js'
 import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { assessPrimary } from './primary-evidence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isAbsent, isLostPrimary, isPositionNeeded, addOrder } from './promotion-context.js'
+import { isLostPrimary, addOrder } from './promotion-context.js'
 import type { KnownStatus, PromotionPlan, PromotionRecord, StopDirectory } from './promotion-step.js'
 import { findReplacedPrimary, recordReplacement } from './replaced-primary.js'
 import { orderFence, computeFenceTerm, liftFences, needsFence, fenceReceivingReplicas } from './replica-fences.js'
@@ -92,8 +93,8 @@
   const { view, record, times } = context
   const evidence = assessPrimary(view, times)
   if (evidence === 'alive') return false
-  if (evidence === 'lost') return true
   if (evidence === 'cut-off') return view.members.some(({ database, weight }) => database !== primary.database && weight > 0)
+  if (evidence === 'lost') return true
   if (view.now - record.primaryQueriedAt >= times.orderRetryMs) {
     record.primaryQueriedAt = view.now
     addOrder(context, primary, { kind: 'status' })
--- a/src/decisions/promotion/promotion-context.ts
+++ b/src/decisions/promotion/promotion-context.ts
@@ -31,18 +31,3 @@
 export function isLostPrimary ({ plan }: Step<'electing'>, { database }: GroupMember): boolean {
   return plan.cause === 'lost' && database === plan.oldPrimary
 }
-
-/**
- * Whether an election needs the position of a database, where commits wait for replicas. Every commit that the former primary acknowledged
- * is in the log of a replica. A database that has been absent for too long counts as lost for good.
- */
-export function isPositionNeeded (context: PromotionContext, { plan }: Step<'electing'>, member: GroupMember): boolean {
-  return member.database !== plan.oldPrimary && !isAbsent(context, member)
-}
-
-/** @returns whether a database has given no sign for `absentWaitMs` and does not answer */
-export function isAbsent ({ view, record, times }: PromotionContext, { database, registered }: GroupMember): boolean {
-  const answeredAt = record.statuses.get(database)?.requestedAt ?? -Infinity
-  const lastSignAt = Math.max(registered.announcedAt, registered.statusAt, answeredAt)
-  return view.now - lastSignAt >= times.absentWaitMs && (record.unreachableAt.get(database) ?? -Infinity) > lastSignAt
-}
--- a/src/decisions/promotion/promotion-controller.ts
+++ b/src/decisions/promotion/promotion-controller.ts
@@ -64,6 +64,7 @@
       historyTerm: 0,
       queryFailedAt: new Map(),
       unreachableAt: new Map(),
+      notRunningAt: new Map(),
       serving: isServing ? { term: replicated.term, since: view.leadership.since } : null,
       isProposing: false,
       nextElectionAt: farPast,
@@ -71,7 +72,7 @@
       membersKnownSince: null,
       primaryQueriedAt: farPast,
       fencedDatabases: new Map(),
-      holdingCheck: null
+      holdingChecks: new Map()
     }
     // An earlier leader may have lost its leadership before it lifted the fences of its last election.
     if (waitsForReplicas(group)) for (const { database } of view.members) if (database !== replicated.primary) record.fencedDatabases.set(database, farPast)
@@ -176,6 +177,7 @@
         const { action, database } = message.order
         if (action.kind === 'status') record.queryFailedAt.set(database, clock.now())
         if (action.kind === 'status' && message.failure.sqlState === null) record.unreachableAt.set(database, clock.now())
+        if (action.kind === 'status' && message.failure.isNotRunning === true) record.notRunningAt.set(database, clock.now())
         const { step } = record
         const isRefused = message.failure.sqlState === PROMOTION_REFUSED
         if (action.kind === 'promote' && isRefused && step.kind === 'promoting' && step.term === action.term) step.refused = true
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -50,15 +50,15 @@
   | { kind: 'recording', term: number, plan: PromotionPlan, database: DatabaseId }
 
 /**
- * Search for a replica that holds everything that databases which have ended can hold: their logs go no further than the position of the
- * primary after their end. A database whose deregistration was not confirmed goes on receiving for some seconds.
+ * Search for a replica that holds everything that a stopped database can hold: its log goes no further than the position of the primary
+ * after its end. A database whose deregistration was not confirmed goes on receiving for some seconds.
  */
 export interface HoldingCheck {
-  /** Last sign of life of these databases, or start of the service if it is later. */
+  /** Last sign of life of the database, or start of the service if it is later. */
   since: Milliseconds
-  /** When none of these databases answered any more; null before. */
-  unreachableAt: Milliseconds | null
-  /** First position that the primary reported after `unreachableAt`. */
+  /** When the leader found that the database has stopped; null before. */
+  stoppedAt: Milliseconds | null
+  /** First position that the primary reported after `stoppedAt`. */
   primaryPosition: LogPosition | null
   queriedAt: Milliseconds
 }
@@ -74,6 +74,8 @@
   queryFailedAt: Map<DatabaseId, Milliseconds>
   /** When the last status query of each database that got no answer at all failed. */
   unreachableAt: Map<DatabaseId, Milliseconds>
+  /** When the last status query of each database that found it not running failed. */
+  notRunningAt: Map<DatabaseId, Milliseconds>
   /** The term in service, and since when this leader has seen the group serve under it. */
   serving: { term: number, since: Milliseconds } | null
   isProposing: boolean
@@ -83,6 +85,6 @@
   primaryQueriedAt: Milliseconds
   /** Databases that an election may have fenced, and when each last got a fence or unfence order. */
   fencedDatabases: Map<DatabaseId, Milliseconds>
-  /** Null while no log of an ended database is missing. */
-  holdingCheck: HoldingCheck | null
+  /** Checks of the databases whose logs are missing at this time. */
+  holdingChecks: Map<DatabaseId, HoldingCheck>
 }
--- a/src/decisions/promotion/replica-fences.ts
+++ b/src/decisions/promotion/replica-fences.ts
@@ -2,8 +2,9 @@
 import { findMember } from '../failover/group-view.js'
 import type { GroupMember } from '../failover/group-view.js'
 import type { Candidate } from './choose-candidate.js'
+import { isPositionNeeded, isRecordedAbsent } from './database-absence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
-import { isPositionNeeded, addOrder } from './promotion-context.js'
+import { addOrder } from './promotion-context.js'
 
 /**
  * Sends the first fence order of an election to each candidate that may still receive from the former primary. The election itself
@@ -44,13 +45,13 @@
   addOrder(context, member, { kind: 'fence', term })
 }
 
-/** Sends unfence orders to the databases that an election may have fenced, until they answer. */
+/** Sends unfence orders to the databases that an election may have fenced, until they answer. One that is absent gets them once it is back. */
 export function liftFences (context: PromotionContext): void {
   const { view, record, times } = context
   for (const [database, orderedAt] of record.fencedDatabases) {
     const member = findMember(view, database)
     if (member === undefined || database === view.replicated.primary) record.fencedDatabases.delete(database)
-    else if (view.now - orderedAt >= times.orderRetryMs) {
+    else if (!isRecordedAbsent(context, member) && view.now - orderedAt >= times.orderRetryMs) {
       record.fencedDatabases.set(database, view.now)
       addOrder(context, member, { kind: 'unfence' })
     }
--- a/src/types/clock.ts
+++ b/src/types/clock.ts
@@ -11,5 +11,8 @@
   now: () => Milliseconds
 }
 
+/** @returns the latest of some points in time */
+export const latest = (first: Milliseconds, ...others: Milliseconds[]): Milliseconds => Math.max(first, ...others) as Milliseconds
+
 /** @returns the point in time `duration` after `start` */
 export const addTime = (start: Milliseconds, duration: number): Milliseconds => (start + duration) as Milliseconds
--- a/src/types/database-connection.ts
+++ b/src/types/database-connection.ts
@@ -8,6 +8,8 @@
   /** SQLSTATE, or null when the database did not answer. */
   sqlState: string | null
   message: string
+  /** Nothing listens at the address, or another database does. Absent also if the database may run and only its answer is missing. */
+  isNotRunning?: true
 }
 
 /** One connection to a database for operations of HTTP callers. It runs one operation at a time. For sessions, see `DatabaseSession`. */
--- a/src/types/database-session.ts
+++ b/src/types/database-session.ts
@@ -68,9 +68,12 @@
   workspace: WorkspaceId | null
 }
 
-/** - `unreachable`: the database did not answer in time, or the connection was refused */
+/**
+ * - `unreachable`: the database did not answer in time, or the connection was lost
+ * - `refused`: nothing listens at the address
+ */
 export interface OpenFailure {
-  kind: 'unreachable' | 'busy' | 'other-database' | 'too-many-connections'
+  kind: 'unreachable' | 'refused' | 'busy' | 'other-database' | 'too-many-connections'
   message: string
 }
 
--- a/src/types/log-event.ts
+++ b/src/types/log-event.ts
@@ -59,6 +59,7 @@
   databaseUnconfirmed: { event: 416, name: 'database-unconfirmed', level: 'warn', meaning: 'A database announced itself once only and never answered; it is not used before it announces itself again.' },
   databaseRecordFailed: { event: 417, name: 'database-record-failed', level: 'warn', meaning: 'The control log did not confirm a record of a database; the control leader proposes it again while it is needed.' },
   electionIncomplete: { event: 418, name: 'election-incomplete', level: 'warn', meaning: 'A database was chosen as primary without the positions of others that have been gone for too long; acknowledged commits that only these have are lost.' },
+  databaseAbsent: { event: 419, name: 'database-absent', level: 'warn', meaning: 'Elections of a group can do without the position of this database until it gives a sign again: another replica holds its log, or it has been gone for too long.' },
   connectionSilent: { event: 408, name: 'connection-silent', level: 'warn', meaning: 'A database connection missed its deadline and was closed.' },
   databaseOrderFailed: { event: 409, name: 'database-order-failed', level: 'warn', meaning: 'A database did not carry out an order to fence or promote.' },
 
--- a/src/types/replicated-state.ts
+++ b/src/types/replicated-state.ts
@@ -48,6 +48,8 @@
   unconfirmed?: true
   /** Where commits wait for replicas: term of the election that replaces this database as primary and does not need its position. */
   replacedIn?: number
+  /** Where commits wait for replicas: elections can do without the position of this incarnation until it gives a sign again. */
+  absent?: true
 }
 
 /** Names the record of one incarnation. */
--- a/test/control/consensus-message-schema.test.ts
+++ b/test/control/consensus-message-schema.test.ts
@@ -17,7 +17,7 @@
   'set-failure-domain': { kind: 'set-failure-domain', failureDomain: failureDomainId('f'), out: true },
   'record-database': {
     kind: 'record-database',
-    database: { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('f'), startedAt: 1, role: 'replica', state: 'ready', replacedIn: 2 }
+    database: { database: databaseId('d'), group: groupId('g'), address: address('d:1'), failureDomain: failureDomainId('f'), startedAt: 1, role: 'replica', state: 'ready', replacedIn: 2, absent: true }
   },
   'record-instance': { kind: 'record-instance', instance: instanceId('i') },
   'forget-instance': { kind: 'forget-instance', instance: instanceId('i') },
--- a/test/control/promotion-schedules.test.ts
+++ b/test/control/promotion-schedules.test.ts
@@ -16,7 +16,8 @@
 /** Time from the end of a database to the start of its successor. */
 const SUCCESSOR_MS = 2000
 
-async function play (seed: number): Promise<PromotionDeployment> {
+/** @param loss - how databases are lost: with their machines, or so that nothing listens at their addresses */
+async function play (seed: number, loss: 'crash' | 'end'): Promise<PromotionDeployment> {
   const random = createRandom(seed)
   const deployment = createPromotionDeployment()
   await deployment.runUntil(START_MS)
@@ -54,7 +55,7 @@
       disturbed.delete(name)
     })
     if (kind === 1) {
-      deployment.crash(name)
+      deployment[loss](name)
       endAfter(1000 + random() * (MAX_OUTAGE_MS - 1000), () => deployment.revive(name))
     } else if (kind === 2) {
       deployment.find(name).isDeaf = true
@@ -70,10 +71,12 @@
 /** Seeds of schedules that lost commits before elections waited for departed replicas, and some others. */
 const SEEDS = [17, 39, 50, 84, 107, 249, 332, 338, 390, ...Array.from({ length: 11 }, (_, index) => index + 1)]
 
-t.test('no schedule of crashes, departures and restarts of control loses an acknowledged commit or the primary', async (t) => {
-  for (const seed of SEEDS) {
-    const deployment = await play(seed)
-    t.same(deployment.violations, [], `seed ${seed}`)
-    t.not(deployment.servingPrimary(), null, `seed ${seed}`)
-  }
-})
+for (const loss of ['crash', 'end'] as const) {
+  t.test(`no schedule of losses, departures and restarts of control loses an acknowledged commit or the primary: ${loss}`, async (t) => {
+    for (const seed of SEEDS) {
+      const deployment = await play(seed, loss)
+      t.same(deployment.violations, [], `seed ${seed}`)
+      t.not(deployment.servingPrimary(), null, `seed ${seed}`)
+    }
+  })
+}
--- a/test/platform/database-wire.test.ts
+++ b/test/platform/database-wire.test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import t from 'tap'
 import { MAX_ANSWER_BYTES, openWireSession, readWireStatus } from '../../platform/database-wire.js'
 import { MAX_MESSAGE_BYTES } from '../../platform/line-reader.js'
@@ -14,6 +14,8 @@
  */
 
 const OPEN_TIMEOUT_MS = 2000
+/** Time limit for a database that never answers. */
+const SILENT_TIMEOUT_MS = 100
 
 async function openSession (database: WireDatabase, id = 'i-1'): Promise<DatabaseSession> {
   const opened = await openWireSession({ database: databaseId(id), group: groupId('g'), address: address(database.address), workspace: workspaceId('w') }, OPEN_TIMEOUT_MS)
@@ -90,11 +92,22 @@
   t.equal((await session.run(readRequest))._unsafeUnwrapErr().kind, 'lost')
 })
 
-t.test('a database whose port refuses connections is unreachable', async (t) => {
+t.test('an address at which nothing listens is told from a database that does not answer, or resets the connection', async (t) => {
   const database = await startWireDatabase('g', 'i-1')
   await database.close()
-  const opened = await openWireSession({ database: databaseId('i-1'), group: groupId('g'), address: address(database.address), workspace: null }, OPEN_TIMEOUT_MS)
-  t.equal(opened._unsafeUnwrapErr().kind, 'unreachable')
+  const open = async (at: string) => (await openWireSession({ database: databaseId('i-1'), group: groupId('g'), address: address(at), workspace: null }, SILENT_TIMEOUT_MS))._unsafeUnwrapErr().kind
+  t.equal(await open(database.address), 'refused')
+  for (const handle of [() => {}, (socket: Socket) => { socket.resetAndDestroy() }]) {
+    const sockets: Socket[] = []
+    const server = createServer((socket) => {
+      sockets.push(socket)
+      handle(socket)
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    t.equal(await open(`127.0.0.1:${(server.address() as AddressInfo).port}`), 'unreachable')
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  }
 })
 
 t.test('a message that would be over the size limit is refused and not sent, and the transaction goes on', async (t) => {
--- a/test/platform/promotion-orders.test.ts
+++ b/test/platform/promotion-orders.test.ts
@@ -5,6 +5,7 @@
 import { openWireSession, readWireStatus } from '../../platform/database-wire.js'
 import { createPromotionOrders } from '../../platform/promotion-orders.js'
 import type { DatabaseAction, SentOrder } from '../../src/decisions/failover/failover-message.js'
+import type { OpenFailure } from '../../src/types/database-session.js'
 import { address, databaseId, groupId, instanceId } from '../../src/types/ids.js'
 import { startWireDatabase } from '../../stand-ins/platform/wire-database.js'
 
@@ -51,13 +52,24 @@
   t.same(holders.map((holder) => Buffer.from(holder ?? '', 'latin1').toString('utf8')), ['core-phở-é'])
 })
 
+/** Sends a status order to a database that can not be reached for the given reason. */
+const sendTo = async (kind: OpenFailure['kind']) => {
+  const sendOrder = createPromotionOrders({ instance: instanceId('control-1'), authority: '127.0.0.1:1', open: async () => err({ kind, message: kind }), readStatus: readWireStatus })
+  return await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address('127.0.0.1:1'), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } })
+}
+
 t.test('a failure tells a busy database from one that does not answer, because only the latter may have ended', async (t) => {
-  const sendTo = async (kind: 'busy' | 'too-many-connections' | 'other-database' | 'unreachable') => {
-    const sendOrder = createPromotionOrders({ instance: instanceId('control-1'), authority: '127.0.0.1:1', open: async () => err({ kind, message: kind }), readStatus: readWireStatus })
-    return await sendOrder({ group: groupId('g'), database: databaseId('r'), address: address('127.0.0.1:1'), leaderTerm: 1, sentAt: 0, action: { kind: 'status' } })
-  }
   t.match(await sendTo('busy'), { error: { sqlState: '57P03' } })
   t.match(await sendTo('too-many-connections'), { error: { sqlState: '53300' } })
   t.match(await sendTo('other-database'), { error: { sqlState: null } })
   t.match(await sendTo('unreachable'), { error: { sqlState: null } })
+  t.match(await sendTo('refused'), { error: { sqlState: null } })
+})
+
+t.test('a database is only said not to run when nothing, or another database, answers at its address', async (t) => {
+  const expected: Record<OpenFailure['kind'], true | undefined> = { refused: true, 'other-database': true, unreachable: undefined, busy: undefined, 'too-many-connections': undefined }
+  for (const [kind, isNotRunning] of Object.entries(expected) as [OpenFailure['kind'], true | undefined][]) {
+    const failure = (await sendTo(kind))._unsafeUnwrapErr()
+    t.equal(failure.isNotRunning, isNotRunning, kind)
+  }
 })
