promotion: an election after a restart waits no longer than the recovery allows

Cause: a database counted as lost for good 20 s after its last sign, and without any sign the time began at the start of the leader.

Evidence: 'a group has a primary within the recovery time although a replica and the primary are lost just before a restart of control' had no primary 12 s after the restart on.

A database that has given this leader a sign is waited for as before, and while the group serves, none is given up sooner.

Why it works: 9 s after the leader's start are more than the longest outage of a database that comes back in the site files (8.9 s); the commits of one that comes back are found, and the others are served within 12 s.

--- a/src/decisions/promotion/database-absence.ts
+++ b/src/decisions/promotion/database-absence.ts
@@ -41,7 +41,9 @@
 
 /** @returns whether a database does not answer, and elections can do without its position or it has given no sign for too long */
 export function isAbsent (context: PromotionContext, member: GroupMember): boolean {
-  return isSilentFor(context, member, isRecordedAbsent(context, member) ? 0 : context.times.absentWaitMs)
+  const { times } = context
+  const limitMs = findLastSign(context, member) === null ? times.unseenWaitMs : times.absentWaitMs
+  return isSilentFor(context, member, isRecordedAbsent(context, member) ? 0 : limitMs)
 }
 
 /**
--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -27,6 +27,11 @@
    * Default 20000.
    */
   absentWaitMs: number
+  /**
+   * Where commits wait for replicas, an election waits this long, from the start of its leader, for the position of a database that has given
+   * this leader no sign. After a restart of all instances, the group must serve again within the recovery time. Default 9000.
+   */
+  unseenWaitMs: number
   /** How long the first start of a group waits for a running primary to announce itself. Default 4000. */
   firstStartWaitMs: number
 }
@@ -38,6 +43,19 @@
   times: PromotionSettings
 }
 
+/** Time for the start of the control instances, the election of their leader, and a promotion. */
+const RECOVERY_STEPS_MS = 3000
+/** Longest time for which an election waits for a database that gives no sign. */
+const ABSENT_WAIT_MS = 20_000
+
+/**
+ * @param recoveryLimitMs - time after a restart of all instances within which a group must serve again, in milliseconds
+ * @returns how long an election may wait for databases that have given its leader no sign, in milliseconds
+ */
+export function computeUnseenWaitMs (recoveryLimitMs: number): number {
+  return Math.min(Math.max(recoveryLimitMs - RECOVERY_STEPS_MS, 0), ABSENT_WAIT_MS)
+}
+
 /** @returns all times, with defaults for those that are absent */
 export function resolvePromotionTimes (settings: PromotionSettings): PromotionTimes {
   return {
@@ -50,7 +68,8 @@
     positionQueryIntervalMs: 60,
     firstStartWaitMs: 4000,
     endedWaitMs: 10_000,
-    absentWaitMs: 20_000,
+    absentWaitMs: ABSENT_WAIT_MS,
+    unseenWaitMs: 9000,
     ...settings
   }
 }
--- a/src/settings/platform-settings.ts
+++ b/src/settings/platform-settings.ts
@@ -20,6 +20,7 @@
   rateExcessShare: z.number().min(0).default(0).describe('Excess over rate and burst of a workspace that is tolerated, as a part of both; default 0.'),
   rateExcessRequests: z.number().min(0).default(0).describe('Requests above rate and burst that are tolerated besides; default 0.'),
   stopLimitSeconds: z.number().positive().default(10).describe('Time between the order to stop and the kill in seconds; default 10.'),
+  recoveryLimitSeconds: z.number().positive().default(12).describe('Time after a restart of all instances within which each group must serve again in seconds; default 12.'),
   clusterSecret: z.string().min(16).default('catkinrelay-platform-network').describe('Secret shared by all instances; the default suits a network that only the instances can use.')
 })
 
--- a/test/control/absent-replicas.test.ts
+++ b/test/control/absent-replicas.test.ts
@@ -6,6 +6,8 @@
 
 /** Time in which no control instance runs. */
 const DOWN_MS = 600
+/** Time from a restart of control within which a group must have a primary: `recovery_s` of the platform less the restart itself. */
+const RECOVERY_MS = 12_000
 /** An election that waits for nobody, with the time to notice the loss. */
 const PROMPT_ELECTION_MS = 4000
 
@@ -44,6 +46,18 @@
   t.equal(deployment.servingPrimary(), 's')
 })
 
+t.test('a group has a primary within the recovery time although a replica and the primary are lost just before a restart of control', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  deployment.crash('r')
+  deployment.crash('p')
+  const restartedAt = await restartAllControl(deployment)
+  await deployment.runUntil(restartedAt + RECOVERY_MS / 2)
+  t.same(deployment.promotions, [], 'r may come back with commits that s lacks')
+  await deployment.runUntil(restartedAt + RECOVERY_MS)
+  t.equal(deployment.servingPrimary(), 's')
+})
+
 t.test('an election does not wait for a replica, or a former primary, that ended before and whose log another one holds', async (t) => {
   for (const first of ['r', 'p']) {
     const deployment = createPromotionDeployment()
