promotion: a primary that was taken for lost serves again when no other database is left

Cause: an election that replaces a lost primary takes the primary out of the candidates. If nothing else answers there is no candidate, and it waited for one for ever. Independent of `sync_replicas`.

The test, 'a primary that was taken for lost serves again when no other database is left', has no primary 10 s after the cut of the primary has healed.

Change: without any candidate the election takes the database that answers as primary, as it does already while a position is missing, after the same time (4 s for the primary that it replaces).

Why it works: nothing was promoted since, so this database has every acknowledged commit; other databases that answer go first as before.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -243,7 +243,8 @@
   const isLogMissing = isPositionMissing || endedReplicas.some(({ endedAt }) => isSuccessorExpected(context, endedAt))
   // The replica whose position is missing may be the only one with the last acknowledged commit.
   if (isLogMissing && waitsForReplicas && step.plan.oldTerm > 0) return findLeadingDatabase(context, step, releasedAt)
-  if (candidates.length === 0) return undefined
+  // No other database is left. The primary may have been taken for lost while it was only cut off.
+  if (candidates.length === 0) return findLeadingDatabase(context, step, releasedAt)
   step.answeredAt ??= view.now
   if (!isComplete && view.now - step.answeredAt < times.candidateWaitMs) return undefined
   const hasNewestHistory = candidates.some(({ known }) => known.status.term >= record.historyTerm)
--- a/test/control/absent-replicas.test.ts
+++ b/test/control/absent-replicas.test.ts
@@ -140,3 +140,17 @@
   await deployment.runUntil(32_500)
   t.notMatch(deployment.recordOf('r'), { absent: true })
 })
+
+t.test('a primary that was taken for lost serves again when no other database is left', async (t) => {
+  const deployment = createPromotionDeployment()
+  await deployment.runUntil(6000)
+  for (const name of ['r', 's']) deployment.end(name)
+  await deployment.runUntil(30_000)
+  deployment.find('p').isCutOff = true
+  await deployment.runUntil(36_000)
+  t.equal(deployment.servingPrimary(), null)
+  deployment.find('p').isCutOff = false
+  await deployment.runUntil(46_000)
+  t.same(deployment.violations, [])
+  t.equal(deployment.servingPrimary(), 'p')
+})
