promotion: a primary whose commits wait for a replica is not taken for lost

Cause: a commit that no replica receives gets no answer, where commits wait for replicas. Instances report that as silence of the primary, and a silence of most instances that is longer than its last announcement ago replaced it without asking it.

Evidence: lines 404 and 405 of terms 3 and 4, both of the same primary, which answered reads in between; its replicas were gone.

Change: in such groups the leader asks the primary for its status before it replaces it on reports of silence.

Why it works: the status needs no commit. Groups without synchronous replicas are as before.

Test: 'a primary whose commits wait for a replica is not replaced while it answers status queries' failed before.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -7,7 +7,7 @@
 import type { GroupMember } from '../failover/group-view.js'
 import { chooseCandidate } from './choose-candidate.js'
 import type { Candidate } from './choose-candidate.js'
-import { isAbsent, isPositionNeeded } from './database-absence.js'
+import { isAbsent, isPositionNeeded, isUnreachableSince } from './database-absence.js'
 import { checkHoldings, isSuccessorExpected } from './holding-check.js'
 import { assessPrimary } from './primary-evidence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
@@ -90,16 +90,18 @@
  * is settled by status queries: the primary is lost after a failed query and a time without answers and announcements.
  */
 function isPrimaryLost (context: PromotionContext, primary: GroupMember): boolean {
-  const { view, record, times } = context
+  const { view, record, times, waitsForReplicas } = context
   const evidence = assessPrimary(view, times)
   if (evidence === 'alive') return false
   if (evidence === 'cut-off') return view.members.some(({ database, weight }) => database !== primary.database && weight > 0)
-  if (evidence === 'lost') return true
+  if (evidence === 'lost' && !waitsForReplicas) return true
   if (view.now - record.primaryQueriedAt >= times.orderRetryMs) {
     record.primaryQueriedAt = view.now
     addOrder(context, primary, { kind: 'status' })
   }
   const answeredAt = record.statuses.get(primary.database)?.requestedAt ?? -Infinity
+  // A commit that no replica receives gets no answer either, and a replacement would not change that.
+  if (evidence === 'lost') return isUnreachableSince(context, primary.database, Math.max(answeredAt, view.now - times.orderRetryMs * 2))
   const failedAt = record.queryFailedAt.get(primary.database) ?? -Infinity
   const silentSince = Math.max(primary.registered.announcedAt, answeredAt)
   return failedAt > answeredAt && view.now - silentSince >= times.announcementMs * 2 + times.primarySilentMs
--- a/test/decisions/promotion/primary-evidence.test.ts
+++ b/test/decisions/promotion/primary-evidence.test.ts
@@ -1,8 +1,9 @@
 // Guards against the replacement of a primary that works: reports of silence may come from few instances, from before its last
 // announcement, or from a time in which the reporting instances were cut off themselves.
 import t from 'tap'
+import type { FailoverEffect } from '../../../src/decisions/failover/failover-message.js'
 import { milliseconds } from '../../../src/types/clock.js'
-import { createHarness, findCommand } from './fixtures/promotion-harness.js'
+import { createHarness, failStatus, findCommand, findOrder, ordersIn } from './fixtures/promotion-harness.js'
 
 t.test('silence to a minority of the instances, or silence before an announcement, replaces no primary', async (t) => {
   const minority = createHarness()
@@ -48,3 +49,19 @@
   harness.report('b', 0, harness.silence('p', 450))
   t.match(findCommand(harness.advance(100)), { kind: 'begin-election' })
 })
+
+t.test('a primary whose commits wait for a replica is not replaced while it answers status queries', async (t) => {
+  const harness = createHarness({ acknowledgingReplicas: 1 })
+  harness.clock.advance(4000)
+  const reportSilence = (): FailoverEffect[] => ['a', 'b', 'c'].flatMap((name) => harness.report(name, 0, harness.silence('p', 900)))
+  reportSilence()
+  for (let round = 0; round < 4; round++) {
+    const effects = harness.advance(500)
+    t.equal(findCommand(effects), undefined)
+    const query = findOrder(ordersIn(effects, 'status'), 'p')
+    t.equal(findCommand(harness.answerStatus(query, 8, 'primary')), undefined)
+    t.equal(findCommand(reportSilence()), undefined)
+  }
+  const query = findOrder(ordersIn(harness.advance(500), 'status'), 'p')
+  t.match(findCommand(failStatus(harness, query)), { kind: 'begin-election', term: 2 })
+})
