promotion: a primary that only some instances reach is kept when no other database can serve

Cause: a primary that announces itself, but that most instances do not reach, was replaced if the group had another database with a weight. One that has been gone for long has a weight as well.

Evidence: by reading; the test failed before: an election began although the other databases had not announced themselves for 4 s.

Change: another database counts only if it has announced itself within two intervals, as for a switchover.

Why it works: without a database that can take over, an election only adds a time without a primary.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -93,7 +93,7 @@
   const { view, record, times, waitsForReplicas } = context
   const evidence = assessPrimary(view, times)
   if (evidence === 'alive') return false
-  if (evidence === 'cut-off') return view.members.some(({ database, weight }) => database !== primary.database && weight > 0)
+  if (evidence === 'cut-off') return view.members.some((member) => member.database !== primary.database && canServe(context, member))
   if (evidence === 'lost' && !waitsForReplicas) return true
   if (view.now - record.primaryQueriedAt >= times.orderRetryMs) {
     record.primaryQueriedAt = view.now
@@ -107,6 +107,11 @@
   return failedAt > answeredAt && view.now - silentSince >= times.announcementMs * 2 + times.primarySilentMs
 }
 
+/** @returns whether a database may take over at once: it has announced itself lately and has a weight */
+function canServe ({ view, times }: PromotionContext, { weight, registered }: GroupMember): boolean {
+  return weight > 0 && view.now - registered.announcedAt < times.announcementMs * 2
+}
+
 /** Begins the first election once a database announces itself as primary, or after `firstStartWaitMs` without one. */
 function startGroup (context: PromotionContext): void {
   const { view, record, times } = context
@@ -117,9 +122,8 @@
 }
 
 function beginSwitchover (context: PromotionContext, primary: GroupMember): void {
-  const { view, record, times } = context
-  const targets = view.members.filter(({ database, weight, registered }) =>
-    database !== primary.database && weight > 0 && view.now - registered.announcedAt < times.announcementMs * 2 && !isReportedSilent(context, database))
+  const { view, record } = context
+  const targets = view.members.filter((member) => member.database !== primary.database && canServe(context, member) && !isReportedSilent(context, member.database))
   const target = targets[0]
   if (target === undefined) return
   record.step = { kind: 'switching', term: view.replicated.term, primary: primary.database, target: target.database, startedAt: view.now, stop: null, releasedAt: null, queriedAt: beforeAnyQuery(view.now) }
--- a/test/decisions/promotion/primary-evidence.test.ts
+++ b/test/decisions/promotion/primary-evidence.test.ts
@@ -65,3 +65,15 @@
   const query = findOrder(ordersIn(harness.advance(500), 'status'), 'p')
   t.match(findCommand(failStatus(harness, query)), { kind: 'begin-election', term: 2 })
 })
+
+t.test('a primary that only some instances reach is not replaced when no other database can serve', async (t) => {
+  const harness = createHarness()
+  harness.clock.advance(4000)
+  harness.announce('p', 'primary')
+  const reportSilence = (): FailoverEffect[] => ['a', 'b', 'c'].flatMap((name) => harness.report(name, 0, harness.silence('p', 900)))
+  reportSilence()
+  t.equal(findCommand(harness.advance(100)), undefined, 'r and s have not announced themselves for 4 s')
+  harness.announce('r', 'replica')
+  reportSilence()
+  t.match(findCommand(harness.advance(100)), { kind: 'begin-election' })
+})
