soak: databases are replaced as planned and lost for good, all control instances are killed, and items and names have any bytes

A database departs, deregisters and has a successor with its log at its address; one of a group may stay away until the end; replication to one stops while another one is away (two of a group at a time); all control instances are killed at once, also during a promotion; items contain line feeds, lone CR, bytes above 0x7f, NUL and names of properties of objects; two workspaces have names that differ only outside of Latin-1. The stand-in hands over no log of a primary that is down any more: before, a replica that started again had everything that a crashed primary had, which hid promotions without acknowledged commits.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -53,6 +53,8 @@
  */
 export async function openCaller (host: string, port: number, database: string, key: string, answerTimeoutMs = DEFAULT_ANSWER_TIMEOUT_MS): Promise<CallerConnection | null> {
   const socket: Socket = connect({ host, port, noDelay: true })
+  // Texts have one character a byte, in both directions.
+  socket.setDefaultEncoding('latin1')
   let unparsed = ''
   let isOpen = true
   let rows: string[] = []
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -4,9 +4,11 @@
 import { join } from 'node:path'
 import { createRandom } from '../src/utils/create-random.js'
 import { startWireGroup } from '../stand-ins/platform/wire-group.js'
-import type { GroupMember, WireGroup } from '../stand-ins/platform/wire-group.js'
+import type { GroupMember } from '../stand-ins/platform/group-member.js'
+import type { WireGroup } from '../stand-ins/platform/wire-group.js'
 import { checkPromises, rateExcess } from './check-promises.js'
 import { listCutStatements } from './cut-statements.js'
+import { createDatabaseAnnouncer } from './database-announcer.js'
 import { createFleet, ports } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { LoopbackProxy } from './loopback-proxy.js'
@@ -103,9 +105,10 @@
   const authorityProxy = await startLoopbackProxy(host, { host, port: portOf(authority) })
   const stopLimitSeconds = planned === undefined ? STOP_LIMIT_SECONDS.mixed : STOP_LIMIT_SECONDS.planned
   const fleet = createFleet({ folder, entries: options.entries, controls: options.controls, failureDomains: FAILURE_DOMAINS, network, authority: authorityProxy.address, settings: { announcementIntervalMs: ANNOUNCEMENT_INTERVAL_MS, rateExcessShare: rateExcess.share, rateExcessRequests: rateExcess.requests, stopLimitSeconds } })
+  // The names of the first two differ only in bytes that Latin-1 does not have.
   const workspaces = [
-    { name: 'large', key: `key-large-${seed}`, rate: 400, burst: 200 },
-    { name: 'small', key: `key-small-${seed}`, rate: 12, burst: 12 },
+    { name: 'chợ-mơ', key: `key-large-${seed}`, rate: 400, burst: 200 },
+    { name: 'chợ-mạ', key: `key-small-${seed}`, rate: 12, burst: 12 },
     { name: 'third', key: `key-third-${seed}`, rate: 200, burst: 100 }
   ].map((workspace) => planned === undefined ? workspace : { ...workspace, ...AMPLE_RATE })
   const ownWritesRoute = { type: 'read_own_writes', timeoutMs: STATEMENT_TIMEOUT_MS, readsOnly: false }
@@ -136,15 +139,6 @@
     return false
   }
 
-  async function sendAnnouncements (group: WireGroup, member: GroupMember, number: number): Promise<void> {
-    for (let sequence = 1; !state.isStopping; sequence++) {
-      const role = group.primary() === member ? 'primary' : 'replica'
-      const body = { service: group.service, address: proxies.get(member)?.address ?? `${host}:${member.port}`, zone: `domain-${number % FAILURE_DOMAINS}`, version: '1', slots: 8, state: 'ready', cold_remaining_ms: 0, db_role: role, sequence, born: 1 }
-      if (member.isUp) await post(`/api/instances/${member.id}/heartbeat`, body, 1000)
-      await pause(ANNOUNCEMENT_INTERVAL_MS)
-    }
-  }
-
   function buildConfiguration (version: number): object {
     return {
       version,
@@ -156,6 +150,7 @@
   }
 
   const violations: string[] = []
+  const announcer = createDatabaseAnnouncer({ post, addressOf: (member) => proxies.get(member)?.address ?? `${host}:${member.port}`, failureDomains: FAILURE_DOMAINS, intervalMs: ANNOUNCEMENT_INTERVAL_MS, onError: (message) => { violations.push(message) } })
   const stallClock = startStallClock()
   let acknowledgedVersion = 0
   /** Replaces the configuration by ever higher versions. After a version was acknowledged, no instance may show a lower one. */
@@ -184,11 +179,17 @@
     violations.push('CONFIG: no instance shows the configuration after the faults')
   }
 
+  /** The successor of a database has its address. */
+  function passProxyOn (ended: GroupMember, successor: GroupMember): void {
+    const proxy = proxies.get(ended)
+    if (proxy !== undefined) proxies.set(successor, proxy)
+  }
+
   try {
     for (const instance of fleet.instances) fleet.start(instance)
     if (!await post('/api/config/replace', buildConfiguration(1), START_TIMEOUT_MS)) throw new Error('the first configuration was not acknowledged')
     acknowledgedVersion = 1
-    for (const group of groups) group.members.forEach((member, number) => { sendAnnouncements(group, member, number).catch((error: unknown) => { violations.push(`announcements of a database failed: ${String(error)}`) }) })
+    for (const group of groups) for (const member of group.members) announcer.start(group, member)
     const configurationLoop = replaceConfigurations()
     const entries = fleet.instances.filter(({ role }) => role === 'entry')
     const databaseOf = new Map(groups.map((group) => [`db-${group.service}`, group]))
@@ -199,11 +200,12 @@
     }
     const disturbances: Disturbance[] = []
     if (planned !== undefined) await playPlannedStops({ random: createRandom(seed + 2), fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
-    else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], toleratedControls: Math.floor((options.controls - 1) / 2), onFault }, options.durationMs))
+    else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], toleratedControls: Math.floor((options.controls - 1) / 2), announcer, lostForGood: new Set(), onSucceeded: passProxyOn, onFault }, options.durationMs))
     await pause(SETTLE_MS)
     await checkStoredConfiguration()
     await workload.stop()
     state.isStopping = true
+    announcer.stop()
     await configurationLoop
     const { history } = workload
     const plannedStops = { stops: fleet.stops, disturbances, stopLimitMs: stopLimitSeconds * 1000, unreadSlackMs: UNREAD_SLACK_MS }
@@ -229,6 +231,7 @@
     }
   } finally {
     state.isStopping = true
+    announcer.stop()
     stallClock.stop()
     await stopAll(fleet, groups, [...proxies.values(), authorityProxy], authority)
     release()
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -1,5 +1,8 @@
+import type { ChildProcess } from 'node:child_process'
 import type { Random } from '../src/utils/create-random.js'
+import type { GroupMember } from '../stand-ins/platform/group-member.js'
 import type { WireGroup } from '../stand-ins/platform/wire-group.js'
+import type { DatabaseAnnouncer } from './database-announcer.js'
 import type { Fleet, InstanceProcess, Role } from './fleet.js'
 import type { LoopbackProxy, ProxyMode } from './loopback-proxy.js'
 
@@ -12,6 +15,11 @@
   proxies: readonly LoopbackProxy[]
   /** Maximum number of control instances that have a fault at the same time. */
   toleratedControls: number
+  announcer: DatabaseAnnouncer
+  /** Databases that stay away until the faults end; one of a group at most. */
+  lostForGood: Set<GroupMember>
+  /** Called when a database has taken the place of one that ended as planned, before it is announced. */
+  onSucceeded: (ended: GroupMember, successor: GroupMember) => void
   /** Called with a description of each fault when it begins. */
   onFault: (fault: string) => void
 }
@@ -35,6 +43,15 @@
 
 /** Mean pause between the starts of two faults. Most faults last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 700
+/** Databases of a group that may have a fault at the same time. */
+const MAX_DISTURBED_MEMBERS = 2
+const LOSS_FOR_GOOD_SHARE = 0.1
+/** Longer than all faults, so that a database that is lost for good comes back only to be compared with the others. */
+const FOR_GOOD_MS = 3_600_000
+/** Time from the end of a database to the start of its successor, in milliseconds. */
+const SUCCESSOR_MS = 600
+/** Target of the loss of all control instances. */
+const ALL_CONTROLS = Symbol('all control instances')
 const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
 
 /** Injects random, overlapping faults for `durationMs` milliseconds. Resolves with the unplanned ones when all have ended. */
@@ -70,11 +87,16 @@
   return items[Math.floor(random() * items.length)]
 }
 
+interface ChosenFault {
+  target: unknown
+  fault: Fault
+}
+
 /** @returns a random target without a fault, and a fault for it; null if no other target of the drawn kind may have a fault now */
-function chooseFault (targets: ScheduleTargets, disturbedTargets: ReadonlySet<unknown>): { target: unknown, fault: Fault } | null {
-  const { random, fleet, groups, proxies } = targets
+function chooseFault (targets: ScheduleTargets, disturbedTargets: ReadonlySet<unknown>): ChosenFault | null {
+  const { random, fleet, proxies } = targets
   const kind = random()
-  if (kind < 0.5) {
+  if (kind < 0.45) {
     const role: Role = random() < 0.5 ? 'entry' : 'control'
     const sameRole = fleet.instances.filter((instance) => instance.role === role)
     const disturbedCount = sameRole.filter((instance) => disturbedTargets.has(instance)).length
@@ -82,14 +104,54 @@
     const instance = pick(random, sameRole.filter((candidate) => !disturbedTargets.has(candidate)))
     return instance === undefined ? null : { target: instance, fault: createProcessFault(random, fleet, instance) }
   }
-  if (kind < 0.7) {
-    const group = pick(random, groups.filter((candidate) => !disturbedTargets.has(candidate)))
-    return group === undefined ? null : { target: group, fault: createDatabaseFault(random, group) }
-  }
+  if (kind < 0.52) return disturbedTargets.has(ALL_CONTROLS) ? null : { target: ALL_CONTROLS, fault: createControlLoss(fleet) }
+  if (kind < 0.77) return chooseDatabaseFault(targets, disturbedTargets)
   const proxy = pick(random, proxies.filter((candidate) => !disturbedTargets.has(candidate)))
   return proxy === undefined ? null : { target: proxy, fault: createProxyFault(random, proxy) }
 }
 
+const isRunning = (child: ChildProcess | null): boolean => child?.exitCode === null && child.signalCode === null
+
+/** Kills all control instances at once. Their disks remain. */
+function createControlLoss (fleet: Fleet): Fault {
+  const controls = fleet.instances.filter(({ role }) => role === 'control')
+  const killed = new Map<InstanceProcess, ChildProcess | null>()
+  return {
+    name: 'kill all control instances',
+    begin: () => {
+      for (const control of controls) {
+        killed.set(control, control.process)
+        fleet.signal(control, 'SIGKILL')
+      }
+    },
+    end: async () => {
+      // Another fault may have started one of them again.
+      for (const [control, killedProcess] of killed) {
+        for (let waits = 0; isRunning(killedProcess) && waits < 100; waits++) await pause(20)
+        if (control.process === null) fleet.start(control)
+      }
+    },
+    durationMs: [100, 900]
+  }
+}
+
+function chooseDatabaseFault (targets: ScheduleTargets, disturbedTargets: ReadonlySet<unknown>): ChosenFault | null {
+  const { random, groups } = targets
+  const group = pick(random, groups)
+  if (group === undefined) return null
+  const members = group.members.filter(({ hasEnded }) => !hasEnded)
+  const free = members.filter((member) => !disturbedTargets.has(member))
+  if (members.length - free.length >= MAX_DISTURBED_MEMBERS) return null
+  const primary = group.primary()
+  const member = random() < 0.5 && free.includes(primary) ? primary : pick(random, free)
+  if (member === undefined) return null
+  const isForGood = random() < LOSS_FOR_GOOD_SHARE && !members.some((other) => targets.lostForGood.has(other))
+  if (isForGood) targets.lostForGood.add(member)
+  const crashMs: Fault['durationMs'] = isForGood ? [FOR_GOOD_MS, FOR_GOOD_MS] : [500, 3000]
+  if (isForGood || random() < 0.5) return { target: member, fault: { name: `crash ${member.id}`, begin: () => { group.crash(member) }, end: async () => { await group.restart(member) }, durationMs: crashMs } }
+  return { target: member, fault: createDatabaseFault(targets, group, member) }
+}
+
 function createProcessFault (random: Random, fleet: Fleet, instance: InstanceProcess): Fault {
   const { name } = instance
   const kind = random()
@@ -113,12 +175,21 @@
   return { name: `reload ${name}`, isPlanned: true, begin: () => { fleet.signal(instance, 'SIGHUP') }, end: () => {}, durationMs: [10, 100] }
 }
 
-function createDatabaseFault (random: Random, group: WireGroup): Fault {
-  const kind = random()
-  const primary = group.primary()
-  const member = kind < 0.5 ? primary : pick(random, group.members.filter((other) => other !== primary)) ?? primary
-  if (kind < 0.75) return { name: `crash ${member.id}`, begin: () => { group.crash(member) }, end: async () => { await group.restart(member) }, durationMs: [500, 3000] }
-  return { name: `replication to ${member.id} stops`, begin: () => { member.isCutOff = true }, end: () => { member.isCutOff = false }, durationMs: [300, 3000] }
+function createDatabaseFault ({ random, announcer, onSucceeded }: ScheduleTargets, group: WireGroup, member: GroupMember): Fault {
+  if (random() < 0.5) return { name: `replication to ${member.id} stops`, begin: () => { member.isCutOff = true }, end: () => { member.isCutOff = false }, durationMs: [300, 3000] }
+  return {
+    name: `replace ${member.id} as planned`,
+    begin: () => { announcer.drain(member) },
+    end: async () => {
+      await announcer.deregister(group, member)
+      if (member.isUp) group.crash(member)
+      await pause(SUCCESSOR_MS)
+      const successor = await group.succeed(member, `${member.id}n`)
+      onSucceeded(member, successor)
+      announcer.start(group, successor)
+    },
+    durationMs: [800, 3000]
+  }
 }
 
 function createProxyFault (random: Random, proxy: LoopbackProxy): Fault {
--- a/soak/workload.ts
+++ b/soak/workload.ts
@@ -103,6 +103,8 @@
 const MEAN_THINK_TIME_MS = 60
 /** Share of the operations before which a session changes a value. */
 const VALUE_CHANGE_SHARE = 0.2
+/** Bytes that items contain besides their number: line ends that end no message, bytes of other encodings, and names of properties of objects. */
+const ITEM_SUFFIXES = ['', '\n', '\rx', '\u00e1\u00bb\u00a3', '\0\u00ff', '.__proto__', '.constructor']
 const pause = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
 
 /** Starts the callers. Only one session writes an item, so the session knows which value a later read must return. */
@@ -121,7 +123,7 @@
       const entry = options.entries[Math.floor(random() * options.entries.length)] as InstanceProcess
       const connection = await openCaller(entry.host, ports.callers, database, workspace.key)
       if (connection === null) await pause(100)
-      else await runSession(connection, `c${number}.${sessionNumber++}`, workspace.name, database)
+      else await runSession(connection, `c${number}.${sessionNumber++}${ITEM_SUFFIXES[sessionNumber % ITEM_SUFFIXES.length] ?? ''}`, workspace.name, database)
     }
   }
 
--- a/stand-ins/platform/wire-group.ts
+++ b/stand-ins/platform/wire-group.ts
@@ -2,25 +2,9 @@
 import type { Server, Socket } from 'node:net'
 import { compareLogPositions, isAtOrPast } from '../../src/types/log-position.js'
 import type { LogPosition } from '../../src/types/log-position.js'
+import type { GroupMember } from './group-member.js'
 import type { CommittedWrite, GroupStatement, LogEntry, StatementReceipt } from './group-record.js'
 
-/** One database of a group. */
-export interface GroupMember {
-  readonly id: string
-  readonly port: number
-  /** Log entries that the database has received. */
-  readonly log: LogEntry[]
-  /** Number of log entries, from the first one on, whose writes reads return. */
-  applied: number
-  isUp: boolean
-  /** Term for which a PAUSE statement fenced the database; 0 while it accepts replication. */
-  fencedTerm: number
-  /** Delay before replication reaches the database, in ms. */
-  lagMs: number
-  /** Whether replication to the database is cut off. */
-  isCutOff: boolean
-}
-
 export interface WireGroupOptions {
   /** Service that the group serves. A connection that names another service is refused. */
   service: string
@@ -57,8 +41,10 @@
   promote: (id: string, token: number) => Promise<number>
   /** Stops a database and resets its connections. It keeps its log. */
   crash: (member: GroupMember) => void
-  /** Starts a stopped database on its port. A replica first makes its log equal to that of the primary. */
+  /** Starts a stopped database on its port. A replica first makes its log equal to that of the primary, if that one is up. */
   restart: (member: GroupMember) => Promise<void>
+  /** Starts a database of another name on the port and with the log of one that has ended as planned. */
+  succeed: (ended: GroupMember, id: string) => Promise<GroupMember>
   close: () => Promise<void>
 }
 
@@ -180,7 +166,8 @@
 
   function startSession (member: GroupMember, socket: Socket, line: string): Session | null {
     startLines.push(line)
-    const [, requestedService, workspace = '', expectedDatabase] = line.split(' ')
+    // Names are UTF-8, and lines are read as Latin-1.
+    const [, requestedService, workspace = '', expectedDatabase] = Buffer.from(line, 'latin1').toString('utf8').split(' ')
     if (requestedService !== service || (expectedDatabase !== undefined && expectedDatabase !== member.id)) {
       socket.end(`ERROR MISROUTED ${member.id}\r\n`)
       return null
@@ -303,7 +290,7 @@
 
   async function restart (member: GroupMember): Promise<void> {
     const current = primary()
-    if (member !== current) {
+    if (member !== current && current.isUp) {
       while (member.log.length > 0 && !current.log.includes(member.log[member.log.length - 1] as LogEntry)) member.log.pop()
       member.log.push(...current.log.slice(member.log.length))
     }
@@ -313,8 +300,16 @@
     member.isUp = true
   }
 
+  async function succeed (ended: GroupMember, id: string): Promise<GroupMember> {
+    ended.hasEnded = true
+    const member = { ...ended, id, bornAt: Date.now(), log: [...ended.log], hasEnded: false }
+    members.push(member)
+    await restart(member)
+    return member
+  }
+
   for (let index = 0; index < options.size; index++) {
-    const member: GroupMember = { id: `${service}-${index + 1}`, port: 0, log: [], applied: 0, isUp: true, fencedTerm: 0, lagMs: 5, isCutOff: false }
+    const member: GroupMember = { id: `${service}-${index + 1}`, port: 0, log: [], applied: 0, isUp: true, hasEnded: false, bornAt: 1, fencedTerm: 0, lagMs: 5, isCutOff: false }
     members.push(member)
     Object.assign(member, { port: await listen(member, 0) })
   }
@@ -332,6 +327,7 @@
     promote,
     crash,
     restart,
+    succeed,
     close: async () => {
       for (const member of members) if (member.isUp) crash(member)
       await pause(0)
