promotion: the wait after a restart leaves 3.5 s for the election

Cause: 3 s were left for the start, the election of control, the leases of instances and the promotion. They took 3.02 s.

Change: 3.5 s. The wait is 8.5 s from the start of the leader, which follows the kill by 1.3 s at least: longer than the longest outage of a database that comes back (8.9 s).

--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -29,7 +29,7 @@
   absentWaitMs: number
   /**
    * Where commits wait for replicas, an election waits this long, from the start of its leader, for the position of a database that has given
-   * this leader no sign. After a restart of all instances, the group must serve again within the recovery time. Default 9000.
+   * this leader no sign. After a restart of all instances, the group must serve again within the recovery time. Default 8500.
    */
   unseenWaitMs: number
   /** How long the first start of a group waits for a running primary to announce itself. Default 4000. */
@@ -44,7 +44,7 @@
 }
 
 /** Time for the start of the control instances, the election of their leader, and a promotion. */
-const RECOVERY_STEPS_MS = 3000
+const RECOVERY_STEPS_MS = 3500
 /** Longest time for which an election waits for a database that gives no sign. */
 const ABSENT_WAIT_MS = 20_000
 
@@ -69,7 +69,7 @@
     firstStartWaitMs: 4000,
     endedWaitMs: 10_000,
     absentWaitMs: ABSENT_WAIT_MS,
-    unseenWaitMs: 9000,
+    unseenWaitMs: 8500,
     ...settings
   }
 }
