soak: addresses of crashed databases refuse connections in half of the crashes

Change: the proxies in front of the databases always took connections, so that the leader never met a database whose process has ended, which is what it needs to give one up before 20 s. Half of the crashes refuse connections now; the others are like those of a lost machine.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -25,6 +25,10 @@
   countResets: () => number
   /** Resets all open connections. */
   reset: () => void
+  /** Stops listening, so that new connections are refused. */
+  refuse: () => void
+  /** Listens again. */
+  accept: () => Promise<void>
   close: () => void
 }
 
@@ -68,8 +72,10 @@
       })
     }
   })
-  await new Promise<void>((resolve) => { server.listen(0, host, resolve) })
+  const listen = (port: number): Promise<void> => new Promise((resolve) => { server.listen(port, host, resolve) })
+  await listen(0)
   const listening = server.address()
+  const port = typeof listening === 'object' && listening !== null ? listening.port : 0
 
   function reset (): void {
     for (const [incoming, outgoing] of pairs) {
@@ -79,7 +85,7 @@
   }
 
   const proxy: LoopbackProxy = {
-    address: `${host}:${typeof listening === 'object' && listening !== null ? listening.port : 0}`,
+    address: `${host}:${port}`,
     get mode () { return currentMode },
     set mode (next) {
       currentMode = next
@@ -91,6 +97,8 @@
     countOpen: () => pairs.size,
     countResets: () => resetCount,
     reset,
+    refuse: () => { server.close() },
+    accept: () => listen(port),
     close: () => {
       server.close()
       reset()
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -200,7 +200,7 @@
     }
     const disturbances: Disturbance[] = []
     if (planned !== undefined) await playPlannedStops({ random: createRandom(seed + 2), fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
-    else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], toleratedControls: Math.floor((options.controls - 1) / 2), announcer, lostForGood: new Set(), onSucceeded: passProxyOn, onFault }, options.durationMs))
+    else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], proxyOf: (member) => proxies.get(member), toleratedControls: Math.floor((options.controls - 1) / 2), announcer, lostForGood: new Set(), onSucceeded: passProxyOn, onFault }, options.durationMs))
     await pause(SETTLE_MS)
     await checkStoredConfiguration()
     await workload.stop()
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -13,6 +13,7 @@
   groups: readonly WireGroup[]
   /** Proxies in front of databases and of the authority. */
   proxies: readonly LoopbackProxy[]
+  proxyOf: (member: GroupMember) => LoopbackProxy | undefined
   /** Maximum number of control instances that have a fault at the same time. */
   toleratedControls: number
   announcer: DatabaseAnnouncer
@@ -147,9 +148,25 @@
   if (member === undefined) return null
   const isForGood = random() < LOSS_FOR_GOOD_SHARE && !members.some((other) => targets.lostForGood.has(other))
   if (isForGood) targets.lostForGood.add(member)
-  const crashMs: Fault['durationMs'] = isForGood ? [FOR_GOOD_MS, FOR_GOOD_MS] : [500, 3000]
-  if (isForGood || random() < 0.5) return { target: member, fault: { name: `crash ${member.id}`, begin: () => { group.crash(member) }, end: async () => { await group.restart(member) }, durationMs: crashMs } }
-  return { target: member, fault: createDatabaseFault(targets, group, member) }
+  const isCrash = isForGood || random() < 0.5
+  return { target: member, fault: isCrash ? createCrash(targets, group, member, isForGood) : createDatabaseFault(targets, group, member) }
+}
+
+/** Ends a database without a word. Its address refuses connections, or takes them without an answer, like that of a lost machine. */
+function createCrash ({ random, proxyOf }: ScheduleTargets, group: WireGroup, member: GroupMember, isForGood: boolean): Fault {
+  const refusing = random() < 0.5 ? proxyOf(member) : undefined
+  return {
+    name: `crash ${member.id}${refusing === undefined ? '' : ', connections refused'}${isForGood ? ', for good' : ''}`,
+    begin: () => {
+      group.crash(member)
+      refusing?.refuse()
+    },
+    end: async () => {
+      await refusing?.accept()
+      await group.restart(member)
+    },
+    durationMs: isForGood ? [FOR_GOOD_MS, FOR_GOOD_MS] : [500, 3000]
+  }
 }
 
 function createProcessFault (random: Random, fleet: Fleet, instance: InstanceProcess): Fault {
--- a/src/decisions/promotion/holding-check.ts
+++ b/src/decisions/promotion/holding-check.ts
@@ -99,7 +99,7 @@
  * Queries a database until it is found to have stopped, and then the members of its group.
  * @returns `held` if a replica holds everything that the database can hold, `waiting` between two queries
  */
-function advanceCheck (context: PromotionContext, { database, address, lastSignAt, stoppedAt }: StoppedDatabase): 'waiting' | 'held' | 'missing' {
+function advanceCheck (context: PromotionContext, { database, address, lastSignAt, stoppedAt }: StoppedDatabase): 'waiting' | 'held' | 'not-held' {
   const { view, times } = context
   const check = findOrCreateCheck(context, database, lastSignAt)
   if (view.now - check.queriedAt < times.orderRetryMs) return 'waiting'
@@ -107,7 +107,7 @@
   if (stoppedAt !== undefined && stoppedAt > check.since) check.stoppedAt ??= view.now
   const queried = check.stoppedAt === null ? [{ database, address }] : view.members.filter((member) => !isMissing(context, member))
   for (const target of queried) addOrder(context, target, { kind: 'status' })
-  return check.stoppedAt !== null && isHeldByReplica(context, check, check.stoppedAt) ? 'held' : 'missing'
+  return check.stoppedAt !== null && isHeldByReplica(context, check, check.stoppedAt) ? 'held' : 'not-held'
 }
 
 function isHeldByReplica ({ view, record }: PromotionContext, check: HoldingCheck, stoppedAt: Milliseconds): boolean {
