promotion: refused connections show the end of a database only after 10 s without a sign

What callers would have seen: with, a replica behind a cut that refuses connections counted as ended after some 3 s. If the other replica then receives nothing and the primary is lost, that one was promoted without the commits that the cut-off replica had acknowledged.

Cause: a refused connection was taken as proof that the process has ended.

Evidence: 'an election waits for a replica that control can not reach ...: connections refused' failed on: the replica was recorded as absent, and the other one was promoted with acknowledged commits missing.

The cases of the issue need no less: after a restart of all processes the wait is bounded by the recovery time, and a replica lost long before is recorded by then. Two losses 5 s apart, without a restart, leave the group without a primary for as long as before.

Tests: the times of those for ended replicas follow (13 s instead of 5 s between the losses); their checks are the same.

--- a/src/decisions/promotion/holding-check.ts
+++ b/src/decisions/promotion/holding-check.ts
@@ -63,8 +63,10 @@
     return
   }
   if (known.absent === true) return recordPresence(context, known)
-  // A replica that merely does not answer may still receive, and the primary may acknowledge commits because of it.
-  const result = advanceCheck(context, { database, address, lastSignAt, stoppedAt: record.notRunningAt.get(database) })
+  // A replica that only control can't reach may still receive, and the primary may acknowledge commits because of it.
+  const notRunningAt = record.notRunningAt.get(database)
+  const hasEnded = notRunningAt !== undefined && notRunningAt - lastSignAt >= times.endedSilenceMs
+  const result = advanceCheck(context, { database, address, lastSignAt, stoppedAt: hasEnded ? notRunningAt : undefined })
   if (result === 'waiting' || !(result === 'held' || isSilentFor(context, member, times.absentWaitMs))) return
   effects.push({ kind: 'record', database: { ...known, absent: true } })
   effects.push({ kind: 'log', name: 'databaseAbsent', details: { group: view.group, database, heldByReplica: result === 'held' } })
--- a/src/decisions/promotion/promotion-options.ts
+++ b/src/decisions/promotion/promotion-options.ts
@@ -27,6 +27,11 @@
    * Default 20000.
    */
   absentWaitMs: number
+  /**
+   * Where commits wait for replicas, a database at whose address nothing listens counts as ended this long after its last sign. Longer than a
+   * cut that refuses connections on behalf of a database that runs. Default 10000.
+   */
+  endedSilenceMs: number
   /**
    * Where commits wait for replicas, an election waits this long, from the start of its leader, for the position of a database that has given
    * this leader no sign. After a restart of all instances, the group must serve again within the recovery time. Default 8500.
@@ -69,6 +74,7 @@
     firstStartWaitMs: 4000,
     endedWaitMs: 10_000,
     absentWaitMs: ABSENT_WAIT_MS,
+    endedSilenceMs: 10_000,
     unseenWaitMs: 8500,
     ...settings
   }
--- a/test/control/absent-replicas.test.ts
+++ b/test/control/absent-replicas.test.ts
@@ -23,10 +23,10 @@
     const deployment = createPromotionDeployment()
     await deployment.runUntil(6000)
     deployment.end('r')
-    await deployment.runUntil(11_000)
+    await deployment.runUntil(19_000)
     t.match(deployment.recordOf('r'), { absent: true })
     deployment.end('p')
-    await deployment.runUntil(11_000 + lossToStopMs)
+    await deployment.runUntil(19_000 + lossToStopMs)
     const restartedAt = await restartAllControl(deployment)
     await deployment.runUntil(restartedAt + PROMPT_ELECTION_MS)
     t.same(deployment.violations, [])
@@ -63,10 +63,10 @@
     const deployment = createPromotionDeployment()
     await deployment.runUntil(6000)
     deployment.end(first)
-    await deployment.runUntil(12_000)
+    await deployment.runUntil(20_000)
     const second = deployment.servingPrimary()
     deployment.end(second ?? '')
-    await deployment.runUntil(12_000 + PROMPT_ELECTION_MS)
+    await deployment.runUntil(20_000 + PROMPT_ELECTION_MS)
     t.same(deployment.violations, [])
     t.equal(deployment.servingPrimary(), 's', `${first} and then ${second}`)
   }
@@ -78,7 +78,7 @@
   deployment.find('s').isDeaf = true
   await deployment.runUntil(6500)
   deployment.end('r')
-  await deployment.runUntil(11_000)
+  await deployment.runUntil(19_000)
   t.notMatch(deployment.recordOf('r'), { absent: true })
   deployment.end('p')
   const restartedAt = await restartAllControl(deployment)
@@ -90,35 +90,37 @@
   t.equal(deployment.servingPrimary(), 'r')
 })
 
-t.test('an election waits for a replica that control can not reach, as its primary may still have acknowledged commits because of it', async (t) => {
-  const deployment = createPromotionDeployment()
-  await deployment.runUntil(6000)
-  deployment.find('r').isCutOff = true
-  await deployment.runUntil(11_000)
-  t.notMatch(deployment.recordOf('r'), { absent: true })
-  deployment.find('s').isDeaf = true
-  await deployment.runUntil(11_500)
-  deployment.end('p')
-  const restartedAt = await restartAllControl(deployment)
-  await deployment.runUntil(restartedAt + 6000)
-  t.same(deployment.promotions, [], 's lacks acknowledged commits')
-  deployment.find('r').isCutOff = false
-  await deployment.runUntil(restartedAt + 10_000)
-  t.same(deployment.violations, [])
-  t.equal(deployment.servingPrimary(), 'r')
-})
+for (const isCutRefusing of [false, true]) {
+  t.test(`an election waits for a replica that control can not reach, as its primary may still have acknowledged commits because of it: ${isCutRefusing ? 'connections refused' : 'silence'}`, async (t) => {
+    const deployment = createPromotionDeployment()
+    await deployment.runUntil(6000)
+    Object.assign(deployment.find('r'), { isCutOff: true, isCutRefusing })
+    await deployment.runUntil(11_000)
+    t.notMatch(deployment.recordOf('r'), { absent: true })
+    deployment.find('s').isDeaf = true
+    await deployment.runUntil(11_500)
+    deployment.end('p')
+    const restartedAt = await restartAllControl(deployment)
+    await deployment.runUntil(restartedAt + 6000)
+    t.same(deployment.promotions, [], 's lacks acknowledged commits')
+    deployment.find('r').isCutOff = false
+    await deployment.runUntil(restartedAt + 10_000)
+    t.same(deployment.violations, [])
+    t.equal(deployment.servingPrimary(), 'r')
+  })
+}
 
 t.test('a replica that comes back is waited for again', async (t) => {
   const deployment = createPromotionDeployment()
   await deployment.runUntil(6000)
   deployment.end('r')
-  await deployment.runUntil(11_000)
+  await deployment.runUntil(19_000)
   t.match(deployment.recordOf('r'), { absent: true })
   deployment.revive('r')
-  await deployment.runUntil(11_100)
+  await deployment.runUntil(19_100)
   t.notMatch(deployment.recordOf('r'), { absent: true })
   deployment.find('s').isDeaf = true
-  await deployment.runUntil(11_500)
+  await deployment.runUntil(19_500)
   deployment.end('r')
   deployment.end('p')
   const restartedAt = await restartAllControl(deployment)
