--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -135,13 +135,18 @@
   })
 }
 
+function formatPosition (position: LogPosition | null): string | null {
+  return position === null ? null : `${position.term}.${position.offset}`
+}
+
 /** @returns log fields that explain why a statement ran on its database */
-export function buildDecisionDetails (kind: string, acquired: AcquiredConnection | null): DecisionDetails {
-  const after = acquired?.after ?? null
+export function buildDecisionDetails ({ position }: SessionContext, kind: string, acquired: AcquiredConnection | null): DecisionDetails {
   const ageMs = acquired?.positionAgeMs ?? null
   return {
     kind,
-    after: after === null ? null : `${after.term}.${after.offset}`,
+    group: acquired?.group ?? null,
+    after: formatPosition(acquired?.after ?? null),
+    lastCommit: formatPosition(position),
     positionAgeMs: ageMs === null ? null : Math.round(ageMs),
     groupTerm: acquired?.groupTerm ?? null,
     proven: acquired?.hadFreshnessLease ?? null
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -238,7 +238,7 @@
   }
 
   function buildDetails (kind: TransactionStatementKind, acquired: AcquiredConnection | null): Record<string, string | number | boolean | null> {
-    return { transaction: true, retries, ...buildDecisionDetails(kind, acquired) }
+    return { transaction: true, retries, ...buildDecisionDetails(context, kind, acquired) }
   }
 
   restartIdleTimer()
--- a/src/decisions/caller-sessions/single-statement.ts
+++ b/src/decisions/caller-sessions/single-statement.ts
@@ -31,16 +31,16 @@
   for (let retries = 0; ; retries++) {
     const acquired = await acquireTimedConnection(context, requirements)
     if ('promise' in acquired) {
-      recordFinishedOperation(context, grant, id, arrivedAt, acquired, null, { retries, ...buildDecisionDetails(kind, null) })
+      recordFinishedOperation(context, grant, id, arrivedAt, acquired, null, { retries, ...buildDecisionDetails(context, kind, null) })
       return toRefusedAnswer(acquired)
     }
     const attempt = await attemptStatement(context, acquired, requirements, id, statement)
     if (attempt.kind === 'answered') {
       const refusal = attempt.outcome.kind === 'refused' ? attempt.outcome.refusal : null
-      recordFinishedOperation(context, grant, id, arrivedAt, refusal, acquired, { retries, ...buildDecisionDetails(kind, acquired) })
+      recordFinishedOperation(context, grant, id, arrivedAt, refusal, acquired, { retries, ...buildDecisionDetails(context, kind, acquired) })
       return { outcome: attempt.outcome, ends: false }
     }
-    services.logEvent('statementRetried', { requestId: id, database: acquired.pooled.database, cause: attempt.cause, retries, remainingMs: Math.round(computeRemainingMs(context, requirements)), ...buildDecisionDetails(kind, acquired) })
+    services.logEvent('statementRetried', { requestId: id, database: acquired.pooled.database, cause: attempt.cause, retries, remainingMs: Math.round(computeRemainingMs(context, requirements)), ...buildDecisionDetails(context, kind, acquired) })
     if (attempt.pauseMs > 0) await services.access.changed(Math.min(attempt.pauseMs, Math.max(1, computeRemainingMs(context, requirements))))
   }
 }
