sessions: the last commit of a session keeps its group, so that a route can move and come back

Cause: a session kept the position of its last commit without the group in whose log it is. A commit at another group took its place, and at the first group the read required the position of bounded staleness alone. Also, the position of one group was compared with positions of another one, required of its databases, and reported to the caller. A commit whose answer had no position was not recorded at all.

Change: a session keeps its last commit as group, position and time of the acknowledgement. A position of the group of the read that was confirmed after that time includes all commits of the session, so it is required in place of the own one; if none is known, the read goes to the primary. The state of a session is of constant size, however many groups its route visits. Sessions whose last commit is of an earlier term use replicas again once a position of the new term is confirmed; they went to the primary until their next commit before.

Why it works: no two positions of different groups meet in a comparison any more, and a session needs no memory of earlier groups, since what was confirmed after its last commit was confirmed after all of them.

--- a/src/decisions/caller-sessions/acquire-connection.ts
+++ b/src/decisions/caller-sessions/acquire-connection.ts
@@ -4,11 +4,12 @@
 import type { DirectoryDatabase } from '../../types/directory.js'
 import type { DatabaseId, GroupId } from '../../types/ids.js'
 import type { LogPosition } from '../../types/log-position.js'
-import { compareLogPositions } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import { computeHoldLimitMs, computeNoPrimaryRetryMs, computeRetryAfterMs } from './bounded-holding.js'
 import { chooseDatabase } from './choose-database.js'
 import type { PooledSession } from './pooled-session.js'
+import type { SessionCommit } from './required-position.js'
+import { findRequiredPosition } from './required-position.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
 import { buildRefusalPromisingNothingKept, refuseWhileStopping } from './session-services.js'
 import type { SessionValues } from './session-values.js'
@@ -40,8 +41,8 @@
   transactionMode: 'none' | 'plain' | 'read-only'
   arrivedAt: Milliseconds
   deadline: Milliseconds
-  /** Position of the session's last commit; null before the first. */
-  position: LogPosition | null
+  /** The session's last commit; null before the first. */
+  lastCommit: SessionCommit | null
   values: SessionValues
   /** Databases that refused the statement or could not be used. They are selected again only when no other database is left. */
   excludedDatabases: Set<DatabaseId>
@@ -224,22 +225,14 @@
   return { kind: 'primary', ...primary, after, positionAgeMs }
 }
 
-/**
- * Selects the database for a read. The read requires a position that the primary confirmed within the allowed staleness, and for
- * `read-your-writes` also the session's own last commit. Without a confirmed position the read goes to the primary, whose answer
- * confirms a new one.
- */
+/** Selects the database for a read. Without a position that it can require, the read goes to the primary, whose answer confirms a new one. */
 function selectReadTarget (services: SessionServices, requirements: ConnectionRequirements): Target {
   const { access, clock, failureDomain, health, pool, crossDomainReads } = services
   const { endpoint, workspace } = requirements.grant
-  const history = access.history(endpoint.group)
-  const sample = history.oldestSince(addTime(requirements.arrivedAt, -endpoint.maxStalenessMs))
-  const ownPosition = endpoint.consistency === 'read-your-writes' ? requirements.position : null
-  // A failover may have rolled back a commit of an earlier term. Replicas would never reach its position.
-  const isOwnPositionOutdated = ownPosition !== null && ownPosition.term < history.term()
-  if (sample === null || isOwnPositionOutdated || requirements.needsPrimary === true) return selectPrimaryTarget(services, requirements, null, null)
-  const after = ownPosition !== null && compareLogPositions(ownPosition, sample.position) > 0 ? ownPosition : sample.position
-  const positionAgeMs = clock.now() - sample.confirmedAt
+  const required = findRequiredPosition(access.history(endpoint.group), endpoint, requirements)
+  if (required === null || requirements.needsPrimary === true) return selectPrimaryTarget(services, requirements, null, null)
+  const after = required.position
+  const positionAgeMs = clock.now() - required.confirmedAt
   const database = chooseDatabase({
     group: endpoint.group,
     workspace,
--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -52,7 +52,7 @@
 export function openCallerSession (services: SessionServices, endpointName: string, keyDigest: string | null): CallerSession | SessionRefusal {
   const initialGrant = services.authorize(endpointName, keyDigest)
   if ('promise' in initialGrant) return initialGrant
-  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, position: null, database: null, isInterrupted: false, timing: createOperationTiming() }
+  const context: SessionContext = { services, endpointName, keyDigest, values: createSessionValues(), rollbackTimeoutMs: initialGrant.endpoint.statementTimeoutMs, lastCommit: null, group: null, database: null, isInterrupted: false, timing: createOperationTiming() }
   const memory = services.sessionMemory?.open()
   let transaction: SessionTransaction | null = null
   let isRunning = false
@@ -65,7 +65,8 @@
   }
 
   function toAnswer (outcome: SessionAnswer['outcome'], ends = false): SessionAnswer {
-    return { outcome, state: currentState(), position: context.position, ends }
+    const { lastCommit, group } = context
+    return { outcome, state: currentState(), position: lastCommit?.group === group ? lastCommit?.position ?? null : null, ends }
   }
 
   const toDoneAnswer = (): SessionAnswer => toAnswer({ kind: 'done', rows: [], proof: null })
--- a/src/decisions/caller-sessions/position-history.ts
+++ b/src/decisions/caller-sessions/position-history.ts
@@ -23,6 +23,8 @@
   add: (position: LogPosition, sentAt: Milliseconds) => void
   /** @returns the oldest known position that includes every commit acknowledged before `since`; null when none is known */
   oldestSince: (since: Milliseconds) => PositionSample | null
+  /** @returns the oldest known position that was confirmed after `time`; null when none is known */
+  oldestAfter: (time: Milliseconds) => PositionSample | null
   /** @returns lower bound in milliseconds of the lag at the time `at` of a database that was at `position` */
   computeLagMs: (position: LogPosition, at: Milliseconds) => number
   /** @returns term of the newest position; 0 when none is known */
@@ -54,6 +56,7 @@
   return {
     add,
     oldestSince: (since) => samples.find(({ confirmedAt }) => confirmedAt >= since) ?? null,
+    oldestAfter: (time) => samples.find(({ confirmedAt }) => confirmedAt > time) ?? null,
     computeLagMs: (position, at) => {
       const next = samples.find((sample) => compareLogPositions(sample.position, position) > 0)
       return next === undefined ? 0 : Math.max(0, at - next.confirmedAt)
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '../../types/clock.js'
 import { addTime } from '../../types/clock.js'
 import type { DatabaseReply } from '../../types/database-session.js'
-import type { DatabaseId } from '../../types/ids.js'
+import type { DatabaseId, GroupId } from '../../types/ids.js'
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
@@ -10,6 +10,7 @@
 import type { OperationTiming } from './operation-timing.js'
 import { addStatementTiming, describeTiming } from './operation-timing.js'
 import type { PooledSession } from './pooled-session.js'
+import type { SessionCommit } from './required-position.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
 import { refuseWhileStopping } from './session-services.js'
 import type { SessionValues } from './session-values.js'
@@ -35,8 +36,10 @@
   readonly values: SessionValues
   /** Time within which a database must answer a rollback, in milliseconds. */
   readonly rollbackTimeoutMs: number
-  /** Position of the session's last commit; null before the first. */
-  position: LogPosition | null
+  /** The session's last commit; null before the first. */
+  lastCommit: SessionCommit | null
+  /** Group of the last operation; null before the first. */
+  group: GroupId | null
   /** Whether the statement in progress was given its last answer. Nothing is sent for it any more. */
   isInterrupted: boolean
   /** Database of the connection in use; null while the session uses none. */
@@ -45,10 +48,11 @@
   timing: OperationTiming
 }
 
-/** @returns the requirements of a statement that arrived at `arrivedAt` */
+/** Starts an operation on the group of its grant. @returns the requirements of a statement that arrived at `arrivedAt` */
 export function buildRequirements (context: SessionContext, grant: SessionGrant, kind: 'read' | 'write', arrivedAt: Milliseconds, transactionMode: ConnectionRequirements['transactionMode']): ConnectionRequirements {
-  const { position, values } = context
-  return { grant, kind, arrivedAt, transactionMode, position, values, deadline: addTime(arrivedAt, grant.endpoint.statementTimeoutMs), excludedDatabases: new Set(), heldMs: 0, wasOffered: false, overloads: new Map() }
+  const { lastCommit, values } = context
+  context.group = grant.endpoint.group
+  return { grant, kind, arrivedAt, transactionMode, lastCommit, values, deadline: addTime(arrivedAt, grant.endpoint.statementTimeoutMs), excludedDatabases: new Set(), heldMs: 0, wasOffered: false, overloads: new Map() }
 }
 
 /** @returns time left until the deadline of a statement in milliseconds; negative after it */
@@ -140,13 +144,14 @@
 }
 
 /** @returns log fields that explain why a statement ran on its database */
-export function buildDecisionDetails ({ position }: SessionContext, kind: string, acquired: AcquiredConnection | null): DecisionDetails {
+export function buildDecisionDetails ({ lastCommit }: SessionContext, kind: string, acquired: AcquiredConnection | null): DecisionDetails {
   const ageMs = acquired?.positionAgeMs ?? null
   return {
     kind,
     group: acquired?.group ?? null,
     after: formatPosition(acquired?.after ?? null),
-    lastCommit: formatPosition(position),
+    lastCommit: formatPosition(lastCommit?.position ?? null),
+    lastCommitGroup: lastCommit?.group ?? null,
     positionAgeMs: ageMs === null ? null : Math.round(ageMs),
     groupTerm: acquired?.groupTerm ?? null,
     proven: acquired?.hadFreshnessLease ?? null
@@ -154,14 +159,16 @@
 }
 
 /**
- * Records the position in a reply. Only a confirmed primary determines the required position of later reads: one covered by a
+ * Records a commit of the session, and the position in a reply. Only a confirmed primary determines the required position of later reads: one covered by a
  * freshness lease, or one that has just committed a write.
  */
 export function recordReplyPosition (context: SessionContext, acquired: AcquiredConnection, reply: DatabaseReply, sentAt: Milliseconds, canCommitWrite: boolean): void {
-  if (reply.position === null) return
+  const { clock, access } = context.services
+  const { group } = acquired
+  const { position } = reply
   const hasCommitted = canCommitWrite && reply.outcome.kind === 'done'
-  if (acquired.isPrimary && (acquired.hadFreshnessLease || hasCommitted)) context.services.access.history(acquired.group).add(reply.position, sentAt)
-  if (hasCommitted) context.position = reply.position
+  if (hasCommitted) context.lastCommit = { group, position, acknowledgedAt: clock.now() }
+  if (position !== null && acquired.isPrimary && (acquired.hadFreshnessLease || hasCommitted)) access.history(group).add(position, sentAt)
 }
 
 /**
--- a/src/types/session-statement.ts
+++ b/src/types/session-statement.ts
@@ -41,6 +41,7 @@
   /** Rows and proof as the database sent them; `proof` is null when the system answered without a database. */
   outcome: { kind: 'done', rows: string[], proof: string | null } | { kind: 'refused', refusal: SessionRefusal }
   state: SessionState
+  /** Position of the session's last commit; null when the session has none, or when it was at another group than the last operation. */
   position: LogPosition | null
   /** Whether the session ends with this answer. It accepts no further statement then. */
   ends: boolean
