sessions: positions are compared only within one term of the group

What callers saw: after a service had been dropped and had come back under its name with databases whose log begins anew, all reads of its routes went to the primary, until the entry instance was restarted.

Cause: an instance keeps the positions that the primary of a group confirmed, and ignores those of an earlier log term, as after a failover. A group is known by its name alone, and the new databases count their terms anew, so every new position was ignored. An answer that arrived late from a former database could also enter the history of the new ones.

Change: each confirmed position, and the last commit of a session, carries the term of the group under which its database served. Positions of two such terms are not compared: the newer one clears the history.

--- a/src/decisions/caller-sessions/position-history.ts
+++ b/src/decisions/caller-sessions/position-history.ts
@@ -19,16 +19,18 @@
   /**
    * Adds the position of an answer. Positions of an earlier term, and those too close to the last one, are ignored.
    * @param sentAt - when the statement was sent; the database must have been confirmed as the primary at that time
+   * @param groupTerm - term of the group under which the database served. Positions of two such terms are never compared: after a change
+   * of the primary, the name of the group may stand for other databases, whose log begins anew.
    */
-  add: (position: LogPosition, sentAt: Milliseconds) => void
+  add: (position: LogPosition, sentAt: Milliseconds, groupTerm: number) => void
   /** @returns the oldest known position that includes every commit acknowledged before `since`; null when none is known */
   oldestSince: (since: Milliseconds) => PositionSample | null
   /** @returns the oldest known position that was confirmed after `time`; null when none is known */
   oldestAfter: (time: Milliseconds) => PositionSample | null
   /** @returns lower bound in milliseconds of the lag at the time `at` of a database that was at `position` */
   computeLagMs: (position: LogPosition, at: Milliseconds) => number
-  /** @returns term of the newest position; 0 when none is known */
-  term: () => number
+  /** @returns whether the primary has confirmed nothing of a later term, so that its log still includes a position that was reported under `groupTerm` */
+  isCurrent: (position: LogPosition, groupTerm: number) => boolean
 }
 
 /**
@@ -37,14 +39,20 @@
  */
 export function createPositionHistory (clock: Clock): PositionHistory {
   let samples: PositionSample[] = []
-  let newestTerm = 0
+  let newestGroupTerm = 0
+  let newestLogTerm = 0
 
-  function add (position: LogPosition, sentAt: Milliseconds): void {
-    if (position.term < newestTerm) return
-    if (position.term > newestTerm) {
+  function isCurrent (position: LogPosition, groupTerm: number): boolean {
+    return groupTerm === newestGroupTerm ? position.term >= newestLogTerm : groupTerm > newestGroupTerm
+  }
+
+  function add (position: LogPosition, sentAt: Milliseconds, groupTerm: number): void {
+    if (!isCurrent(position, groupTerm)) return
+    if (groupTerm > newestGroupTerm || position.term > newestLogTerm) {
       // A failover may have rolled back positions of an earlier term, so that no database would ever reach them.
       samples = []
-      newestTerm = position.term
+      newestGroupTerm = groupTerm
+      newestLogTerm = position.term
     }
     const last = samples.at(-1)
     if (last !== undefined && sentAt - last.confirmedAt < MIN_SAMPLE_INTERVAL_MS) return
@@ -61,6 +69,6 @@
       const next = samples.find((sample) => compareLogPositions(sample.position, position) > 0)
       return next === undefined ? 0 : Math.max(0, at - next.confirmedAt)
     },
-    term: () => newestTerm
+    isCurrent
   }
 }
--- a/src/decisions/caller-sessions/required-position.ts
+++ b/src/decisions/caller-sessions/required-position.ts
@@ -13,6 +13,8 @@
 export interface SessionCommit {
   /** Group of the database that committed. A change of the manifest can move the endpoint of the session to another one. */
   group: GroupId
+  /** Term of the group under which the database served. */
+  groupTerm: number
   /** Position in the log of `group`; null when the database reported none. */
   position: LogPosition | null
   /** When the acknowledgement of the database arrived. */
@@ -35,10 +37,10 @@
 export function findRequiredPosition (history: PositionHistory, endpoint: SessionEndpoint, { arrivedAt, lastCommit }: PositionedRead): PositionSample | null {
   const sample = history.oldestSince(addTime(arrivedAt, -endpoint.maxStalenessMs))
   if (sample === null || endpoint.consistency !== 'read-your-writes' || lastCommit === null) return sample
-  const { group, position, acknowledgedAt } = lastCommit
+  const { group, groupTerm, position, acknowledgedAt } = lastCommit
   if (sample.confirmedAt > acknowledgedAt) return sample
-  if (group !== endpoint.group || position === null) return history.oldestAfter(acknowledgedAt)
-  // A failover may have rolled back a commit of an earlier term. Replicas would never reach its position.
-  if (position.term < history.term()) return history.oldestAfter(acknowledgedAt)
+  // Replicas would never reach the position of a commit that a failover has rolled back.
+  const isUsable = group === endpoint.group && position !== null && history.isCurrent(position, groupTerm)
+  if (!isUsable) return history.oldestAfter(acknowledgedAt)
   return compareLogPositions(position, sample.position) > 0 ? { ...sample, position } : sample
 }
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -164,11 +164,13 @@
  */
 export function recordReplyPosition (context: SessionContext, acquired: AcquiredConnection, reply: DatabaseReply, sentAt: Milliseconds, canCommitWrite: boolean): void {
   const { clock, access } = context.services
-  const { group } = acquired
+  const { group, groupTerm, hadFreshnessLease } = acquired
+  // Replicas confirm nothing.
+  if (groupTerm === null) return
   const { position } = reply
   const hasCommitted = canCommitWrite && reply.outcome.kind === 'done'
-  if (hasCommitted) context.lastCommit = { group, position, acknowledgedAt: clock.now() }
-  if (position !== null && acquired.isPrimary && (acquired.hadFreshnessLease || hasCommitted)) access.history(group).add(position, sentAt)
+  if (hasCommitted) context.lastCommit = { group, groupTerm, position, acknowledgedAt: clock.now() }
+  if (position !== null && (hadFreshnessLease || hasCommitted)) access.history(group).add(position, sentAt, groupTerm)
 }
 
 /**
--- a/test/decisions/caller-sessions/moved-endpoint.test.ts
+++ b/test/decisions/caller-sessions/moved-endpoint.test.ts
@@ -112,6 +112,34 @@
       t.equal(positionsOfReads(harness, 'p').length, 1)
     })
 
+    suite.test('replicas serve reads again when a group has come back under its name with databases whose log begins anew', async (t) => {
+      const harness = createSessionHarness('read-your-writes', source)
+      harness.database('s').term = 5
+      harness.publish('s', 'serving', 5)
+      const session = harness.open()
+      await session.handle('1', write)
+      await harness.advance(100)
+      harness.publish('p', 'serving', 6)
+      await confirmPosition(harness)
+      t.equal(promiseOf(await session.handle('2', read)), 'done')
+      t.same([...positionsOfReads(harness, 'r'), ...positionsOfReads(harness, 's')], [{ term: 1, offset: 10 }])
+    })
+
+    suite.test('a late answer from before a group came back under its name confirms nothing', async (t) => {
+      const harness = createSessionHarness('read-your-writes', source)
+      harness.database('s').term = 5
+      harness.publish('s', 'serving', 5)
+      harness.database('s').answerDelayMs = 300
+      const late = harness.open().handle('1', write)
+      await harness.advance(100)
+      harness.publish('p', 'serving', 6)
+      await confirmPosition(harness)
+      await harness.advance(300)
+      await late
+      await harness.open().handle('2', read)
+      t.same([...positionsOfReads(harness, 'r'), ...positionsOfReads(harness, 's')], [{ term: 1, offset: 10 }])
+    })
+
     suite.end()
   })
 }
