sessions: a session token keeps positions of several groups

What callers saw (HTTP interface): after their workspace had moved to another group, or on a route of a workspace of another group, each request with the session token was refused with 1012, whose remedy says to send the token unchanged. A caller that dropped its token got one of the new group, which was refused after the move back; without any token the session did not see its own writes. The pages promise that a request with the token sees everything that the session wrote.

A token named one group and was replaced with each answer.

A position of another group is not required. When a token has dropped positions it says so, and a read at a group without a position goes to the primary. A token of one group has the form of earlier releases; during a rolling update, instances of earlier releases refuse a token of several groups.

--- a/src/entry/entry-instance.ts
+++ b/src/entry/entry-instance.ts
@@ -225,9 +225,8 @@
     link.handle({ kind: 'forward', message })
   }
 
-  function encodeSession ({ outcome, group }: CallerAnswer): string | null {
-    if (outcome.kind === 'refusal' || outcome.position === null || group === null) return null
-    return encodeSessionToken({ group, position: outcome.position })
+  function encodeSession ({ session }: CallerAnswer): string | null {
+    return session === null ? null : encodeSessionToken(session)
   }
 
   const callerServer: CallerServer = await listenForCallers({
--- a/src/entry/request-service.ts
+++ b/src/entry/request-service.ts
@@ -7,17 +7,17 @@
 import type { RetryBudget } from '../decisions/retries/retry-budget.js'
 import type { DispatcherEffect, DispatcherMessage } from '../decisions/routing/dispatcher-message.js'
 import type { RequestDispatcher } from '../decisions/routing/request-dispatcher.js'
-import { decodeSessionToken } from '../decisions/sessions/session-token.js'
+import { addSessionPosition, decodeSessionToken } from '../decisions/sessions/session-token.js'
 import { findStatementKind } from '../decisions/sessions/statement-kind.js'
 import type { CallerAnswer, CallerRequest, ServeCaller } from '../types/caller-request.js'
 import type { Clock, Milliseconds } from '../types/clock.js'
 import { addTime } from '../types/clock.js'
 import type { GroupId, InstanceId, RequestId, WorkspaceId } from '../types/ids.js'
 import { requestId } from '../types/ids.js'
-import type { LogPosition } from '../types/log-position.js'
 import type { Outcome, Refusal } from '../types/outcome.js'
 import type { Answer, Cancel, Execute } from '../types/peer-message.js'
 import { buildRefusal } from '../types/result-code.js'
+import type { SessionToken } from '../types/session-token.js'
 import { digestKey } from '../utils/digest-key.js'
 
 /** Length of the random prefix that makes request ids unique across instances and incarnations. */
@@ -72,6 +72,13 @@
 
 type RequestResult = Pick<FinishedCallerRequest, 'outcome' | 'wrongful' | 'admittedAt'>
 
+/** A request that is allowed to run. */
+interface CheckedRequest {
+  authorized: AuthorizedRequest
+  /** Positions that the session of the request has to see; null when the request carries no token. */
+  session: SessionToken | null
+}
+
 interface PendingRequest {
   /** Cancels the request and settles it: as not run unless it was dispatched. */
   interrupt: () => void
@@ -139,28 +146,28 @@
     return addTime(clock.now(), duration)
   }
 
-  function decodeRequiredPosition (request: CallerRequest, group: GroupId): LogPosition | null | Refusal {
-    if (request.sessionToken === null) return null
-    const token = decodeSessionToken(request.sessionToken)
-    if (token.isErr()) return buildRefusal('sessionTokenInvalid', 'not-run', `the session token is ${token.error}`)
-    if (token.value.group !== group) return buildRefusal('sessionTokenInvalid', 'not-run', 'the session token belongs to another group')
-    return token.value.position
+  /** @returns the positions that the session of a request has to see; null when the request carries no token */
+  function decodeSession ({ sessionToken }: CallerRequest): SessionToken | null | Refusal {
+    if (sessionToken === null) return null
+    const token = decodeSessionToken(sessionToken)
+    return token.isOk() ? token.value : buildRefusal('sessionTokenInvalid', 'not-run', `the session token is ${token.error}`)
   }
 
   /** Checks everything that needs neither limits nor a database: freshness, key, route, statement and session token. */
-  function checkRequest (request: CallerRequest): Refusal | { authorized: AuthorizedRequest, required: LogPosition | null } {
+  function checkRequest (request: CallerRequest): Refusal | CheckedRequest {
     if (isInterrupted) return buildRefusal('shuttingDown', 'not-run', 'the instance is stopping', 0)
     if (manifestIndex === null || clock.now() >= freshnessReader.read().validUntil) return buildRefusal('notFresh', 'not-run', 'the instance can not prove that its configuration is current', 0)
     const authorized = authorize(manifestIndex, request.key === null ? null : findOrCreateDigest(request.key), request.operation)
     if (authorized.isErr()) return authorized.error
-    const { operation, group } = authorized.value
+    const { operation } = authorized.value
     if ('statement' in operation && findStatementKind(operation.statement) === null) return buildRefusal('statementNotAllowed', 'not-run', 'the statement must begin with select, insert, update, delete or with, and name no function of the system')
-    const required = decodeRequiredPosition(request, group)
-    if (required !== null && 'kind' in required) return required
-    return { authorized: authorized.value, required }
+    const session = decodeSession(request)
+    if (session !== null && 'kind' in session) return session
+    return { authorized: authorized.value, session }
   }
 
-  function buildExecute (request: CallerRequest, id: RequestId, authorized: AuthorizedRequest, required: LogPosition | null, deadline: Milliseconds): Execute {
+  function buildExecute (request: CallerRequest, id: RequestId, { authorized, session }: CheckedRequest, deadline: Milliseconds): Execute {
+    const required = session?.positions.find(({ group }) => group === authorized.group)?.position ?? null
     return {
       version: 1,
       kind: 'execute',
@@ -170,7 +177,7 @@
       group: authorized.group,
       operation: authorized.operation,
       required,
-      primaryOnly: required === null && request.sessionId !== null,
+      primaryOnly: required === null && (request.sessionId !== null || session?.isPartial === true),
       oldestAgeMs: request.oldestAgeMs,
       remainingMs: deadline - clock.now(),
       idempotencyKey: request.idempotencyKey,
@@ -183,7 +190,8 @@
     return authorized.operation.kind === 'rollback' || authorized.operation.kind === 'commit'
   }
 
-  async function runRequest (request: CallerRequest, authorized: AuthorizedRequest, required: LogPosition | null, signal: AbortSignal): Promise<RequestResult> {
+  async function runRequest (request: CallerRequest, checked: CheckedRequest, signal: AbortSignal): Promise<RequestResult> {
+    const { authorized } = checked
     const id = requestId(`${requestIdPrefix}${requestCount++}`)
     const deadline = computeDeadline(request)
     const { workspace } = authorized
@@ -204,7 +212,7 @@
         startDispatch: () => {
           isDispatched = true
           if (!isExemptFromRate(authorized)) admittedAt = clock.now()
-          dispatch({ kind: 'request', request: buildExecute(request, id, authorized, required, deadline) })
+          dispatch({ kind: 'request', request: buildExecute(request, id, checked, deadline) })
         }
       }
       function handleAbort (): void {
@@ -230,12 +238,13 @@
     const checked = checkRequest(request)
     if ('code' in checked) {
       options.onFinished({ workspace: null, outcome: checked, durationMs: clock.now() - startedAt, wrongful: false, admittedAt: null })
-      return { outcome: checked, group: null }
+      return { outcome: checked, session: null }
     }
-    const { authorized, required } = checked
-    const { outcome, wrongful, admittedAt } = await runRequest(request, authorized, required, signal)
+    const { authorized, session } = checked
+    const { outcome, wrongful, admittedAt } = await runRequest(request, checked, signal)
     options.onFinished({ workspace: authorized.workspace, outcome, durationMs: clock.now() - startedAt, wrongful, admittedAt })
-    return { outcome, group: authorized.group }
+    const position = outcome.kind === 'success' ? outcome.position : null
+    return { outcome, session: position === null ? null : addSessionPosition(session, { group: authorized.group, position }) }
   }
 
   return {
--- a/src/types/caller-request.ts
+++ b/src/types/caller-request.ts
@@ -1,6 +1,6 @@
 import type { ColumnValue, Outcome } from './outcome.js'
-import type { GroupId } from './ids.js'
 import type { Operation } from './peer-message.js'
+import type { SessionToken } from './session-token.js'
 
 /** What a caller requests: an operation, or a route that the manifest declares. */
 export type CallerOperation = Operation | { kind: 'route', name: string, values: ColumnValue[] }
@@ -24,8 +24,8 @@
 
 export interface CallerAnswer {
   outcome: Outcome
-  /** Database group that the position of a success belongs to. */
-  group: GroupId | null
+  /** Positions that the session has to see after this request; null when the request adds none. */
+  session: SessionToken | null
 }
 
 /** Serves one request. The signal aborts when the caller disconnects. */
--- a/src/types/result-code.ts
+++ b/src/types/result-code.ts
@@ -28,7 +28,7 @@
   transactionBusy: { code: 1009, name: 'transaction-busy', status: 409, meaning: 'The transaction is still running an earlier statement.', remedy: 'Wait for its answer.' },
   deadlineExceeded: { code: 1010, name: 'deadline-exceeded', status: 504, meaning: 'The deadline of the request passed.', remedy: 'The field outcome says whether it ran.' },
   unknownRoute: { code: 1011, name: 'unknown-route', status: 404, meaning: 'The manifest declares no such route.', remedy: 'Check the name with the operator.' },
-  sessionTokenInvalid: { code: 1012, name: 'session-token-invalid', status: 400, meaning: 'The session token is damaged or belongs to another group.', remedy: 'Send the token of the last answer unchanged.' },
+  sessionTokenInvalid: { code: 1012, name: 'session-token-invalid', status: 400, meaning: 'The session token is damaged, or a later release wrote it.', remedy: 'Send the token of the last answer unchanged.' },
   idempotencyKeyReused: { code: 1013, name: 'idempotency-key-reused', status: 409, meaning: 'The idempotency key was used before with another statement.', remedy: 'Use a new key for each request.' },
   headerInvalid: { code: 1014, name: 'header-invalid', status: 400, meaning: 'A catkinrelay header has a value that can not be used.', remedy: 'The message names the header.' },
 
--- a/test/adapters/http/bad-input.test.ts
+++ b/test/adapters/http/bad-input.test.ts
@@ -20,7 +20,7 @@
   announcementSecret: 'announcement secret',
   serve: async (request) => {
     served.push(request)
-    return { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, group: null }
+    return { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, session: null }
   },
   encodeSession: () => null,
   announce: () => { throw new Error('no announcement of this test is valid') },
--- a/test/adapters/http/caller-server.test.ts
+++ b/test/adapters/http/caller-server.test.ts
@@ -16,7 +16,7 @@
   announcementSecret: 'announcement secret of the test',
   database: { user: 'u', password: 'p', databaseName: 'd' }
 })
-const success: CallerAnswer = { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, group: null }
+const success: CallerAnswer = { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, session: null }
 
 interface Fixture {
   server: CallerServer
--- a/test/adapters/http/unreadable-request.test.ts
+++ b/test/adapters/http/unreadable-request.test.ts
@@ -17,7 +17,7 @@
   announcementSecret: 'announcement secret',
   serve: async () => {
     servedCount++
-    return { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, group: null }
+    return { outcome: { kind: 'success', rows: [], rowCount: 0, position: null, database: null, role: null, ageMs: null, transaction: null }, session: null }
   },
   encodeSession: () => null,
   announce: () => {},
