sessions: an operation is never sent for a workspace that no longer holds its key

A single statement that waited for a primary, for room or for a retry was sent after its key had moved or had been withdrawn.

Cause: each statement of a transaction was authorized, but the workspace of the new grant was not compared with that of the connection. A single statement was authorized only when it arrived.

Change: the workspace of an operation is the one for which it was admitted. Each statement of a transaction, and each connection that a statement has waited for, is checked against the manifest in force. If the key is another workspace's, what is open is rolled back and the caller is told that nothing is kept; its session goes on for the new workspace. What was already sent is answered as before.

--- a/src/decisions/caller-sessions/caller-session.ts
+++ b/src/decisions/caller-sessions/caller-session.ts
@@ -81,7 +81,7 @@
     const grant = await admitOperation(context, id)
     if ('refusal' in grant) return toAnswer({ kind: 'refused', refusal: grant.refusal }, grant.ends)
     if (isClosed) return toAnswer({ kind: 'refused', refusal: buildInterruptionRefusal(false) }, true)
-    transaction = openTransaction(context, readOnly)
+    transaction = openTransaction(context, grant.workspace, readOnly)
     return toDoneAnswer()
   }
 
--- a/src/decisions/caller-sessions/session-context.ts
+++ b/src/decisions/caller-sessions/session-context.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '../../types/clock.js'
 import { addTime } from '../../types/clock.js'
 import type { DatabaseReply } from '../../types/database-session.js'
-import type { DatabaseId, GroupId } from '../../types/ids.js'
+import type { DatabaseId, GroupId, WorkspaceId } from '../../types/ids.js'
 import type { LogPosition } from '../../types/log-position.js'
 import type { SessionRefusal } from '../../types/session-statement.js'
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
@@ -12,7 +12,7 @@
 import type { PooledSession } from './pooled-session.js'
 import type { SessionCommit } from './required-position.js'
 import type { SessionGrant, SessionServices } from './session-services.js'
-import { refuseWhileStopping } from './session-services.js'
+import { buildRefusalPromisingNothingKept, refuseWhileStopping } from './session-services.js'
 import type { SessionValues } from './session-values.js'
 import type { StatementLoss, StatementReply, StatementRequest } from './statement-runner.js'
 import { runStatement } from './statement-runner.js'
@@ -101,14 +101,35 @@
   })
 }
 
-/** Acquires a connection and adds the wait to the timing of the operation. @see acquireConnection */
-export async function acquireTimedConnection ({ services, timing }: SessionContext, requirements: ConnectionRequirements): Promise<AcquiredConnection | SessionRefusal> {
+/**
+ * Checks the key of an operation that has begun against the manifest in force. A change of the manifest can withdraw the key, or give it to
+ * another workspace.
+ * @param workspace - workspace for which the operation was admitted
+ * @returns the grant in force, or why nothing more may be sent for the operation
+ */
+export function authorizeAgain ({ services, endpointName, keyDigest }: SessionContext, workspace: WorkspaceId): SessionGrant | SessionRefusal {
+  const grant = services.authorize(endpointName, keyDigest)
+  if ('promise' in grant || grant.workspace === workspace) return grant
+  return buildRefusalPromisingNothingKept('transactionAborted', 'the key belongs to another workspace now', 0)
+}
+
+/**
+ * Acquires a connection and adds the wait to the timing of the operation. The key may have changed hands meanwhile.
+ * @see acquireConnection
+ */
+export async function acquireTimedConnection (context: SessionContext, requirements: ConnectionRequirements): Promise<AcquiredConnection | SessionRefusal> {
+  const { services, timing } = context
   const startedAt = services.clock.now()
   const acquired = await acquireConnection(services, requirements)
   const slotMs = 'promise' in acquired ? 0 : acquired.pooled.slotWaitMs ?? 0
   timing.slotMs += slotMs
   timing.connectionMs += services.clock.now() - startedAt - slotMs
-  return acquired
+  if ('promise' in acquired) return acquired
+  const current = authorizeAgain(context, requirements.grant.workspace)
+  if (!('promise' in current)) return acquired
+  if (acquired.hasGuardTransaction) rollBackAndRelease(context, acquired.pooled).catch(() => {})
+  else services.pool.release(acquired.pooled)
+  return current
 }
 
 /** Runs a statement of the caller and adds its time to the timing of the operation. @see runStatement */
--- a/src/decisions/caller-sessions/session-transaction.ts
+++ b/src/decisions/caller-sessions/session-transaction.ts
@@ -1,13 +1,14 @@
 import type { Result } from 'neverthrow'
 import type { Milliseconds } from '../../types/clock.js'
 import type { DatabaseErrorKind } from '../../types/database-session.js'
+import type { WorkspaceId } from '../../types/ids.js'
 import type { SessionAnswer, SessionRefusal, SessionStatement } from '../../types/session-statement.js'
 import { countIfBegan } from '../metering/count-began.js'
 import type { AcquiredConnection, ConnectionRequirements } from './acquire-connection.js'
 import { refreshPrimaryEvidence } from './acquire-connection.js'
 import type { PrimaryWork } from './group-access.js'
 import type { DatabaseRefusal, SessionContext } from './session-context.js'
-import { buildDecisionDetails, recordFinishedOperation, releaseOrDiscard, MIN_RUN_MS, logRefusal, buildRequirements, recordDatabaseRefusal, recordReplyPosition, computeRemainingMs, rollBackAndRelease, acquireTimedConnection, runTimedStatement } from './session-context.js'
+import { authorizeAgain, buildDecisionDetails, recordFinishedOperation, releaseOrDiscard, MIN_RUN_MS, logRefusal, buildRequirements, recordDatabaseRefusal, recordReplyPosition, computeRemainingMs, rollBackAndRelease, acquireTimedConnection, runTimedStatement } from './session-context.js'
 import type { SessionGrant } from './session-services.js'
 import { buildRefusalPromisingNothingKept, refuseWhileStopping } from './session-services.js'
 import type { StatementLoss, StatementReply } from './statement-runner.js'
@@ -65,10 +66,11 @@
 
 /**
  * Opens a transaction. It sends nothing to a database before the first statement.
+ * @param workspace - workspace for which the transaction was admitted
  * @param readOnly - whether the caller declared the transaction read-only
  */
-export function openTransaction (context: SessionContext, readOnly: boolean): SessionTransaction {
-  const { services, values, endpointName, keyDigest } = context
+export function openTransaction (context: SessionContext, workspace: WorkspaceId, readOnly: boolean): SessionTransaction {
+  const { services, values } = context
   const { clock, access, pool, after } = services
   const startedAt = clock.now()
   let state: 'open' | 'failed' | 'ended' = 'open'
@@ -128,11 +130,12 @@
     const stopping = refuseWhileStopping(services, 'transactionAborted')
     if (stopping !== null) abort(stopping)
     if (state !== 'open') return answerAfterFailure(kind)
-    const grant = services.authorize(endpointName, keyDigest)
+    const grant = authorizeAgain(context, workspace)
     if ('promise' in grant) {
       logRefusal(context, id, grant, arrivedAt, null)
       fail(kind)
-      return toRefusedAnswer(grant, true)
+      // A key that belongs to another workspace now is valid for the next operation.
+      return toRefusedAnswer(grant, grant.result !== 'transactionAborted')
     }
     cancelIdleTimer()
     isRunning = true
