soak: routes move and come back, workspaces exchange keys, configurations grow by thousands of routes

Each version of the configuration may move a route to the other group, most often the one that moved last, exchange the keys of two workspaces, and add or remove 1,000 to 4,000 routes. Half of the versions follow quickly. Replication in the group that a route leaves is slow for 3 s where commits wait for no replica, since a session that returns must not read at a replica that lacks its commits.

Checks: a read is compared with the last acknowledged write of its session at the group that ran it. A statement may run for a workspace that held the key within 6.5 s before it was sent or until its answer: 3 s to apply a configuration and 3.5 s for the longest fault. For a key that does not move this is the equality that was checked before. Rates are counted by the workspace for which a statement ran.

--- a/soak/check-promises.ts
+++ b/soak/check-promises.ts
@@ -8,11 +8,18 @@
   history: History
   groups: readonly WireGroup[]
   workspaces: readonly { name: string, key: string, rate: number, burst: number }[]
+  /** @returns whether `workspace` may have held the key of `owner` at some time from `from` to `until` */
+  mayHaveHeld: (workspace: string, owner: string, from: number, until: number) => boolean
   /** Whether a promotion may lose acknowledged commits. */
   canLoseCommits: boolean
   planned: PlannedStops
 }
 
+/** Time after its acknowledgement within which a configuration is in force at every instance that reaches control. */
+const APPLY_MS = 3000
+/** Longest time for which a fault keeps an instance from hearing of a configuration. */
+const LONGEST_FAULT_MS = 3500
+
 /** Time by which the databases may observe a statement later than it was sent: the delay of a slow proxy, and of this busy process. */
 const OBSERVATION_DELAY_MS = 200
 /** Time window in which the rate check counts operations. */
@@ -25,7 +32,7 @@
  * ran and the writes that they store.
  * @returns one line for each broken promise
  */
-export function checkPromises ({ history, groups, workspaces, canLoseCommits, planned }: PromiseInputs): string[] {
+export function checkPromises ({ history, groups, workspaces, mayHaveHeld, canLoseCommits, planned }: PromiseInputs): string[] {
   const storedCounts = new Map<string, number>()
   for (const group of groups) {
     for (const { writes } of group.primary().log) for (const { id } of writes) storedCounts.set(id, (storedCounts.get(id) ?? 0) + 1)
@@ -34,7 +41,7 @@
     ...history.violations,
     ...groups.flatMap(({ violations }) => violations),
     ...checkWrites(history, storedCounts, canLoseCommits),
-    ...checkRanStatements(history, groups),
+    ...checkRanStatements(history, groups, mayHaveHeld),
     ...listCutStatements(history, groups, planned).filter(({ excuse }) => excuse === null).map(({ description }) => `LOST: ${description}`),
     ...checkKeys(groups, workspaces),
     ...workspaces.flatMap((workspace) => checkRate(history, groups, workspace))
@@ -52,12 +59,12 @@
   })
 }
 
-function checkRanStatements ({ sent }: History, groups: readonly WireGroup[]): string[] {
+function checkRanStatements ({ sent }: History, groups: readonly WireGroup[], mayHaveHeld: PromiseInputs['mayHaveHeld']): string[] {
   return groups.flatMap(({ statements: runs }) => runs.flatMap(({ id, text, workspace: who, values, receivedAt }) => {
     const statement = sent.get(id)
     if (statement === undefined) return [`UNASKED: ${id} (${text}) was never sent`]
     if (statement.text !== text) return [`UNASKED: ${id} ran as ${text} and was sent as ${statement.text}`]
-    if (statement.workspace !== who) return [`UNASKED: ${id} of ${statement.workspace} ran for ${who}`]
+    if (!mayHaveHeld(who, statement.workspace, statement.sentAt - APPLY_MS - LONGEST_FAULT_MS, statement.endedAt ?? Infinity)) return [`UNASKED: ${id} with the key of ${statement.workspace} ran for ${who}`]
     if (statement.values !== values) return [`PINNED: ${id} ran with the values ${values}, its session had ${statement.values}`]
     const lateMs = statement.answeredAt === null ? 0 : receivedAt - statement.answeredAt
     return lateMs <= OBSERVATION_DELAY_MS ? [] : [`PINNED: ${id} (${text}) reached a database ${lateMs} ms after its caller was answered`]
@@ -70,7 +77,7 @@
 }
 
 function checkRate ({ sent }: History, groups: readonly WireGroup[], { name, rate, burst }: { name: string, rate: number, burst: number }): string[] {
-  const times = groups.flatMap(({ statements: runs }) => runs.filter(({ id }) => sent.get(id)?.workspace === name && sent.get(id)?.beginsOperation === true).map(({ at }) => at)).sort((left, right) => left - right)
+  const times = groups.flatMap(({ statements: runs }) => runs.filter(({ id, workspace }) => workspace === name && sent.get(id)?.beginsOperation === true).map(({ at }) => at)).sort((left, right) => left - right)
   const limit = (rate * RATE_WINDOW_MS / 1000 + burst) * (1 + rateExcess.share) + rateExcess.requests
   for (let first = 0, last = 0; last < times.length; last++) {
     while ((times[last] as number) - (times[first] as number) > RATE_WINDOW_MS) first++
--- a/soak/run-seed.ts
+++ b/soak/run-seed.ts
@@ -8,6 +8,8 @@
 import type { WireGroup } from '../stand-ins/platform/wire-group.js'
 import { checkPromises, rateExcess } from './check-promises.js'
 import { listCutStatements } from './cut-statements.js'
+import type { ConfigurationChanges } from './configuration-changes.js'
+import { createConfigurationChanges } from './configuration-changes.js'
 import { createDatabaseAnnouncer } from './database-announcer.js'
 import { createFleet, ports } from './fleet.js'
 import type { Fleet } from './fleet.js'
@@ -66,6 +68,13 @@
 /** Time within which all processes must have started and acknowledged the first configuration. */
 const START_TIMEOUT_MS = 30_000
 const FAILURE_DOMAINS = 3
+/** Pause between two versions of the configuration while stops are planned. */
+const PLANNED_VERSION_PAUSE_MS = 1500
+/** Replication delay of a group whose route moves, less than the staleness that the routes allow, and its duration, in milliseconds. */
+const MOVED_ROUTE_LAG_MS = 1500
+/** Time in milliseconds from the begin of that delay to the move, in which sessions commit what replicas lack afterwards. */
+const MOVED_ROUTE_LEAD_MS = 300
+const MOVED_ROUTE_LAG_DURATION_MS = 3000
 /** Connections that a database accepts where instances lend them. */
 const SCARCE_CONNECTIONS = 12
 const IDLE_WORKSPACES = 29
@@ -121,7 +130,8 @@
       ]
   /** Workspaces without traffic. With more workspaces, instances lend connections from a higher limit on. */
   const idleWorkspaces = Array.from({ length: options.lendsConnections === true ? IDLE_WORKSPACES : 0 }, (_, number) => ({ name: `idle-${number}`, key: `key-idle-${number}-${seed}`, rate: 1, burst: 1 }))
-  const state = { isStopping: false }
+  const changes: ConfigurationChanges = createConfigurationChanges({ random: createRandom(seed + 3), routes, services: groups.map(({ service }) => service), workspaces: workspaces.map(({ name }) => name), onMove: delayReplication })
+  const state = { isStopping: false, isSettling: false }
   let faults = 0
   const controlHosts = fleet.instances.filter(({ role }) => role === 'control').map(({ host: control }) => control)
 
@@ -139,16 +149,42 @@
     return false
   }
 
+  /** Delays replication in a group whose route moves, since a session that comes back must not read at a replica that lacks its commits. */
+  function delayReplication (service: string): void {
+    // Commits that wait for a replica would take as long.
+    if (syncReplicas > 0) return
+    const members = groups.find((group) => group.service === service)?.members ?? []
+    for (const member of members) {
+      const { lagMs } = member
+      if (lagMs === MOVED_ROUTE_LAG_MS) continue
+      member.lagMs = MOVED_ROUTE_LAG_MS
+      setTimeout(() => { member.lagMs = lagMs }, MOVED_ROUTE_LAG_DURATION_MS)
+    }
+  }
+
+  /** @returns keys that a workspace holds now. @param ownKey - its key at the start */
+  function keysOf (name: string, ownKey: string): string[] {
+    const held = workspaces.filter((owner) => changes.holderOf(owner.name) === name).map(({ key }) => key)
+    return workspaces.some((owner) => owner.name === name) ? held : [ownKey]
+  }
+
   function buildConfiguration (version: number): object {
+    const unusedRoutes = Array.from({ length: changes.unusedRoutes() }, (_, number) => ({ ...ownWritesRoute, database: `db-unused-${number}`, service: 'alpha' }))
+    const servedRoutes = routes.map((route) => ({ ...route, service: changes.serviceOf(route.database) }))
     return {
       version,
-      routes: routes.map(({ database, service, type, timeoutMs }) => ({ name: `route-${database}`, database, path_prefix: '/', route_type: type, timeout_ms: timeoutMs, target_latency_ms: 400, priority: 1, service, max_staleness_ms: 2000, public: false })),
+      routes: [...servedRoutes, ...unusedRoutes].map(({ database, service, type, timeoutMs }) => ({ name: `route-${database}`, database, path_prefix: '/', route_type: type, timeout_ms: timeoutMs, target_latency_ms: 400, priority: 1, service, max_staleness_ms: 2000, public: false })),
       services: groups.map(({ service }) => ({ name: service, max_connections: options.lendsConnections === true ? SCARCE_CONNECTIONS : 40, sync_replicas: syncReplicas })),
       limits: { tx_idle_ms: 3000 },
-      tenants: [...workspaces, ...idleWorkspaces].map(({ name, key, rate, burst }) => ({ name, api_keys: [key], rate_per_s: rate, burst }))
+      tenants: [...workspaces, ...idleWorkspaces].map(({ name, key, rate, burst }) => ({ name, api_keys: keysOf(name, key), rate_per_s: rate, burst }))
     }
   }
 
+  function onFault (fault: string): void {
+    faults++
+    appendFileSync(join(folder, 'faults.log'), `${new Date().toISOString()} ${fault}\n`)
+  }
+
   const violations: string[] = []
   const announcer = createDatabaseAnnouncer({ post, addressOf: (member) => proxies.get(member)?.address ?? `${host}:${member.port}`, failureDomains: FAILURE_DOMAINS, intervalMs: ANNOUNCEMENT_INTERVAL_MS, onError: (message) => { violations.push(message) } })
   const stallClock = startStallClock()
@@ -156,8 +192,13 @@
   /** Replaces the configuration by ever higher versions. After a version was acknowledged, no instance may show a lower one. */
   async function replaceConfigurations (): Promise<void> {
     for (let version = 2; !state.isStopping; version++) {
-      await pause(1500)
-      if (await post('/api/config/replace', buildConfiguration(version), 5000)) acknowledgedVersion = version
+      await pause(planned === undefined ? changes.pauseMs() : PLANNED_VERSION_PAUSE_MS)
+      const drawn = planned === undefined && !state.isSettling ? changes.draw() : ''
+      if (drawn !== '') onFault(`version ${version}: ${drawn}`)
+      if (drawn !== '') await pause(MOVED_ROUTE_LEAD_MS)
+      if (!await post('/api/config/replace', buildConfiguration(version), 5000)) continue
+      acknowledgedVersion = version
+      changes.acknowledge()
     }
   }
 
@@ -192,15 +233,11 @@
     for (const group of groups) for (const member of group.members) announcer.start(group, member)
     const configurationLoop = replaceConfigurations()
     const entries = fleet.instances.filter(({ role }) => role === 'entry')
-    const databaseOf = new Map(groups.map((group) => [`db-${group.service}`, group]))
-    const workload = planned !== undefined ? startPlannedWorkload({ random, entries, workspaces, routes, stalledMs: stallClock.totalMs, ...planned }) : startWorkload({ random, entries, workspaces, databases: [...databaseOf.keys()], callers: 24, stalledMs: stallClock.totalMs, termOf: (database) => databaseOf.get(database)?.term() ?? 0, canLoseCommits: syncReplicas === 0 })
-    const onFault = (fault: string): void => {
-      faults++
-      appendFileSync(join(folder, 'faults.log'), `${new Date().toISOString()} ${fault}\n`)
-    }
+    const workload = planned !== undefined ? startPlannedWorkload({ random, entries, workspaces, routes, stalledMs: stallClock.totalMs, ...planned }) : startWorkload({ random, entries, workspaces, databases: routes.map(({ database }) => database), callers: 24, stalledMs: stallClock.totalMs, groupOf: createGroupLookup(groups), canLoseCommits: syncReplicas === 0 })
     const disturbances: Disturbance[] = []
     if (planned !== undefined) await playPlannedStops({ random: createRandom(seed + 2), fleet, stopLimitMs: stopLimitSeconds * 1000, onEvent: onFault }, options.durationMs)
     else disturbances.push(...await runSchedule({ random, fleet, groups, proxies: [...proxies.values(), authorityProxy], proxyOf: (member) => proxies.get(member), toleratedControls: Math.floor((options.controls - 1) / 2), announcer, lostForGood: new Set(), onSucceeded: passProxyOn, onFault }, options.durationMs))
+    state.isSettling = true
     await pause(SETTLE_MS)
     await checkStoredConfiguration()
     await workload.stop()
@@ -209,7 +246,7 @@
     await configurationLoop
     const { history } = workload
     const plannedStops = { stops: fleet.stops, disturbances, stopLimitMs: stopLimitSeconds * 1000, unreadSlackMs: UNREAD_SLACK_MS }
-    violations.push(...checkPromises({ history, groups, workspaces, canLoseCommits: syncReplicas === 0, planned: plannedStops }))
+    violations.push(...checkPromises({ history, groups, workspaces, mayHaveHeld: changes.mayHaveHeld, canLoseCommits: syncReplicas === 0, planned: plannedStops }))
     violations.push(...fleet.listUnexpectedExits().map((name) => `ENDED: ${name}`))
     const promotions = groups.reduce((sum, group) => sum + group.term() - 1, 0)
     const cutStatements = listCutStatements(history, groups, plannedStops)
@@ -239,6 +276,19 @@
   }
 }
 
+/** @returns a function that finds the group whose database ran a statement last */
+function createGroupLookup (groups: readonly WireGroup[]): (id: string) => WireGroup | undefined {
+  const groupById = new Map<string, WireGroup>()
+  const readCounts = groups.map(() => 0)
+  return (id) => {
+    for (const [index, group] of groups.entries()) {
+      for (const statement of group.statements.slice(readCounts[index])) groupById.set(statement.id, group)
+      readCounts[index] = group.statements.length
+    }
+    return groupById.get(id)
+  }
+}
+
 function countByName (names: readonly string[]): Record<string, number> {
   const counts: Record<string, number> = {}
   for (const name of names) counts[name] = (counts[name] ?? 0) + 1
--- a/soak/workload.ts
+++ b/soak/workload.ts
@@ -1,3 +1,4 @@
+import type { WireGroup } from '../stand-ins/platform/wire-group.js'
 import type { Random } from '../src/utils/create-random.js'
 import type { Answer, CallerConnection, QueryOptions, StatementOutcome } from './caller.js'
 import { openCaller } from './caller.js'
@@ -20,6 +21,7 @@
 /** A statement that a caller sent. */
 export interface SentStatement {
   text: string
+  /** Workspace that held the key of the session at the start of the run. */
   workspace: string
   /** Whether the statement counts towards the rate of its workspace. */
   beginsOperation: boolean
@@ -46,6 +48,13 @@
 /** A statement before it is sent. */
 export type PlannedStatement = Omit<SentStatement, 'answeredAt' | 'host' | 'sentAt' | 'endedAt' | 'waitedMs' | 'answer'>
 
+/** Last acknowledged write of a session at one group. */
+interface AcknowledgedWrite {
+  count: number
+  /** Term of the group at the acknowledgement. */
+  term: number
+}
+
 /** Statements, outcomes and violations that all callers observed together. */
 export interface History {
   writes: WriteRecord[]
@@ -86,8 +95,8 @@
   databases: readonly string[]
   callers: number
   stalledMs: () => number
-  /** @returns the term of the group that serves a database name; it rises with each promotion */
-  termOf: (database: string) => number
+  /** @returns the group whose database ran a statement; its term rises with each promotion */
+  groupOf: (id: string) => Pick<WireGroup, 'service' | 'term'> | undefined
   /** Whether a promotion may lose acknowledged commits. */
   canLoseCommits: boolean
 }
@@ -133,8 +142,7 @@
 
   async function runSession (connection: CallerConnection, item: string, workspace: string, database: string): Promise<void> {
     let count = 0
-    let acknowledged = 0
-    let acknowledgedInTerm = 0
+    const acknowledged = new Map<string, AcknowledgedWrite>()
     const stepCount = 5 + Math.floor(random() * 40)
     databaseOf.set(connection, database)
     await setOwner(connection, workspace, item)
@@ -146,15 +154,16 @@
         count++
         const { id, outcome } = await send(connection, workspace, `WRITE ${item} ${count}`, true)
         recordOutcome(outcome, { id, item, count, workspace, outcome, isTransaction: false, at: Date.now() })
-        if (outcome === 'done') [acknowledged, acknowledgedInTerm] = [count, options.termOf(database)]
+        if (outcome === 'done') recordAcknowledged(acknowledged, id, count)
       } else if (kind < 0.5) {
         count++
-        const outcome = await runTransaction(connection, item, count, workspace)
-        if (outcome === 'done') [acknowledged, acknowledgedInTerm] = [count, options.termOf(database)]
+        const { id, outcome } = await runTransaction(connection, item, count, workspace)
+        if (outcome === 'done') recordAcknowledged(acknowledged, id, count)
       } else {
-        const { outcome, rows } = await send(connection, workspace, `READ ${item}`, true)
+        const { id, outcome, rows } = await send(connection, workspace, `READ ${item}`, true)
         recordOutcome(outcome, null)
-        if (outcome === 'done') checkRead(item, rows[0], acknowledged, acknowledgedInTerm === options.termOf(database), count)
+        const group = options.groupOf(id)
+        if (outcome === 'done' && group !== undefined) checkRead(item, rows[0], acknowledged.get(group.service), group.term(), count)
       }
     }
     connection.close()
@@ -166,18 +175,28 @@
     else connection.close()
   }
 
-  /** Checks that a session reads its own writes. A promotion may lose acknowledged commits if commits do not wait for a replica. */
-  function checkRead (item: string, row: string | undefined, acknowledged: number, isSameTerm: boolean, written: number): void {
+  function recordAcknowledged (acknowledged: Map<string, AcknowledgedWrite>, id: string, count: number): void {
+    const group = options.groupOf(id)
+    if (group !== undefined) acknowledged.set(group.service, { count, term: group.term() })
+  }
+
+  /**
+   * Checks that a session reads its own writes at the group that ran the read. A promotion may lose acknowledged commits if commits do not
+   * wait for a replica.
+   * @param last - last acknowledged write of the session at that group; undefined before the first
+   */
+  function checkRead (item: string, row: string | undefined, last: AcknowledgedWrite | undefined, term: number, written: number): void {
     const seen = row === '-' ? 0 : Number(row)
+    const acknowledged = last?.count ?? 0
     if (row === undefined || Number.isNaN(seen) || seen > written) history.violations.push(`MIXED: ${item} shows ${row ?? 'no row'}, ${written} was written last`)
-    else if (seen < acknowledged && (isSameTerm || !options.canLoseCommits)) history.violations.push(`STALE: ${item} shows ${seen} after ${acknowledged} was acknowledged`)
+    else if (seen < acknowledged && (last?.term === term || !options.canLoseCommits)) history.violations.push(`STALE: ${item} shows ${seen} after ${acknowledged} was acknowledged`)
   }
 
-  async function runTransaction (connection: CallerConnection, item: string, count: number, workspace: string): Promise<StatementOutcome> {
+  async function runTransaction (connection: CallerConnection, item: string, count: number, workspace: string): Promise<{ id: string, outcome: StatementOutcome }> {
     const begun = await send(connection, workspace, 'BEGIN', false)
     if (begun.outcome !== 'done') {
       recordOutcome(begun.outcome, null)
-      return 'unknown'
+      return { id: begun.id, outcome: 'unknown' }
     }
     const written = await send(connection, workspace, `WRITE ${item} ${count}`, true)
     if (written.outcome === 'done') {
@@ -189,7 +208,7 @@
     const outcome: StatementOutcome = written.outcome !== 'done' || isRolledBack ? 'not-kept' : ended.outcome
     // If the write failed, the transaction is rolled back, whatever the answer to its commit is.
     recordOutcome(outcome === 'not-kept' ? ended.outcome : outcome, { id: written.id, item, count, workspace, outcome, isTransaction: true, at: Date.now() })
-    return outcome
+    return { id: written.id, outcome }
   }
 
   function recordOutcome (outcome: StatementOutcome, write: WriteRecord | null): void {
