promotions: a planned change fences all replicas but its target before the election

The position of the target was compared once; what another replica received until the promotion took effect was acknowledged and lost. The unplanned path fences the replicas first, the planned one fenced none.

Change: once a target has caught up, all other replicas are fenced, and the election begins when the target holds what they have. Groups whose commits wait for no replica are not affected.

--- a/src/decisions/promotion/advance-group.ts
+++ b/src/decisions/promotion/advance-group.ts
@@ -2,7 +2,7 @@
 import { addTime } from '../../types/clock.js'
 import { hasDirectoryVersion } from '../../types/directory-version.js'
 import type { DatabaseId } from '../../types/ids.js'
-import { compareLogPositions, isAtOrPast } from '../../types/log-position.js'
+import { compareLogPositions } from '../../types/log-position.js'
 import { findMember } from '../failover/group-view.js'
 import type { GroupMember } from '../failover/group-view.js'
 import { chooseCandidate } from './choose-candidate.js'
@@ -15,6 +15,7 @@
 import type { KnownStatus, PromotionPlan, PromotionRecord, StopDirectory } from './promotion-step.js'
 import { findReplacedPrimary, recordReplacement } from './replaced-primary.js'
 import { orderFence, computeFenceTerm, liftFences, needsFence, fenceReceivingReplicas } from './replica-fences.js'
+import { findSafeTarget } from './switchover-target.js'
 
 /** Advances the primary election or switchover of a group until it has to wait for an answer, a report or a time. */
 export function advanceGroup (context: PromotionContext): void {
@@ -126,7 +127,7 @@
   const targets = view.members.filter((member) => member.database !== primary.database && canServe(context, member) && !isReportedSilent(context, member.database))
   const target = targets[0]
   if (target === undefined) return
-  record.step = { kind: 'switching', term: view.replicated.term, primary: primary.database, target: target.database, startedAt: view.now, stop: null, releasedAt: null, queriedAt: beforeAnyQuery(view.now) }
+  record.step = { kind: 'switching', term: view.replicated.term, primary: primary.database, target: target.database, confinedTo: null, startedAt: view.now, stop: null, releasedAt: null, queriedAt: beforeAnyQuery(view.now) }
   context.effects.push({ kind: 'log', name: 'switchoverBegan', details: { group: view.group, term: view.replicated.term, from: primary.database, to: target.database } })
 }
 
@@ -150,28 +151,17 @@
   if (step.releasedAt === null && areAllReleased(context, step.term, step.stop)) step.releasedAt = view.now
   if (step.releasedAt === null && view.now - step.startedAt < times.switchoverTimeoutMs) return
   const plan: PromotionPlan = { cause: 'planned', oldTerm: step.term, oldPrimary: step.primary, preferredTarget: step.target, startedAt: step.startedAt }
-  const caughtUpTarget = step.releasedAt === null ? undefined : findCaughtUpTarget(context, step, step.releasedAt)
-  if (caughtUpTarget !== undefined) return beginElection(context, { ...plan, preferredTarget: caughtUpTarget })
+  const target = step.releasedAt === null ? undefined : findSafeTarget(context, step, step.releasedAt)
+  if (target !== undefined) return beginElection(context, { ...plan, preferredTarget: target })
   // Where commits wait for replicas, a target that lacks an acknowledged commit must not become primary. So the election chooses by position.
   if (isOverdue) return beginElection(context, context.waitsForReplicas ? { ...plan, preferredTarget: null } : plan)
   if (view.now - step.queriedAt < times.positionQueryIntervalMs) return
   step.queriedAt = view.now
   for (const member of view.members) {
-    if (member.database === step.primary || member.weight > 0) addOrder(context, member, { kind: 'status' })
+    if (member.database === step.primary || member.weight > 0 || context.waitsForReplicas) addOrder(context, member, { kind: 'status' })
   }
 }
 
-/** @returns a database that has reached the primary's position after the release of the term, preferably the switchover target */
-function findCaughtUpTarget ({ view, record }: PromotionContext, step: Step<'switching'>, releasedAt: Milliseconds): DatabaseId | undefined {
-  const primary = record.statuses.get(step.primary)
-  if (primary === undefined || primary.requestedAt < releasedAt || primary.status.role !== 'primary') return undefined
-  const caughtUpMembers = view.members.filter(({ database, weight }) => {
-    const known = record.statuses.get(database)
-    return database !== step.primary && weight > 0 && known !== undefined && known.requestedAt >= releasedAt && isAtOrPast(known.status.position, primary.status.position)
-  })
-  return (caughtUpMembers.find(({ database }) => database === step.target) ?? caughtUpMembers[0])?.database
-}
-
 /**
  * Whether no instance can use the primary of a term any more. Instances without a heartbeat for one lease are not registered any more,
  * and an instance that joined later has no older lease.
--- a/src/decisions/promotion/promotion-step.ts
+++ b/src/decisions/promotion/promotion-step.ts
@@ -38,8 +38,8 @@
 
 export type PromotionStep =
   | { kind: 'idle' }
-  /** The instances finish their work in flight on the primary and start no new work there; then the target catches up. */
-  | { kind: 'switching', term: number, primary: DatabaseId, target: DatabaseId, startedAt: Milliseconds, stop: StopDirectory | null, releasedAt: Milliseconds | null, queriedAt: Milliseconds }
+  /** The instances finish their work in flight on the primary and start no new work there; then the target catches up. `confinedTo` is the target to which replication is confined; null before. */
+  | { kind: 'switching', term: number, primary: DatabaseId, target: DatabaseId, confinedTo: DatabaseId | null, startedAt: Milliseconds, stop: StopDirectory | null, releasedAt: Milliseconds | null, queriedAt: Milliseconds }
   /** The leader has proposed `begin-election` and waits for the answer of the log. */
   | { kind: 'beginning', term: number, plan: PromotionPlan }
   /** The term is committed and belongs to this leader. No instance uses a primary once all have released the old term. */
--- a/src/decisions/promotion/replica-fences.ts
+++ b/src/decisions/promotion/replica-fences.ts
@@ -5,6 +5,7 @@
 import { isPositionNeeded, isRecordedAbsent } from './database-absence.js'
 import type { PromotionContext, Step } from './promotion-context.js'
 import { addOrder } from './promotion-context.js'
+import type { PromotionRecord } from './promotion-step.js'
 
 /**
  * Sends the first fence order of an election to each candidate that may still receive from the former primary. The election itself
@@ -28,9 +29,14 @@
 export function computeFenceTerm (context: PromotionContext, step: Step<'electing'>, releasedAt: Milliseconds): number | null {
   const { view, record, waitsForReplicas } = context
   if (!waitsForReplicas || step.plan.oldTerm === 0) return null
-  const statuses = view.members.filter((member) => isPositionNeeded(context, step, member)).map(({ database }) => record.statuses.get(database))
-  if (statuses.some((known) => known === undefined || known.requestedAt < releasedAt)) return null
-  return Math.max(record.historyTerm, ...statuses.map((known) => known?.status.term ?? 0)) + 1
+  return computeTermAbove(record, view.members.filter((member) => isPositionNeeded(context, step, member)), releasedAt)
+}
+
+/** @returns a term above the newest promotion that the databases know; null while one of them has not answered a query since `since` */
+export function computeTermAbove ({ historyTerm, statuses }: PromotionRecord, members: readonly GroupMember[], since: Milliseconds): number | null {
+  const known = members.map(({ database }) => statuses.get(database))
+  if (known.some((status) => status === undefined || status.requestedAt < since)) return null
+  return Math.max(historyTerm, ...known.map((status) => status?.status.term ?? 0)) + 1
 }
 
 /** @returns whether the database is a replica that may still receive from the former primary */
