--- a/soak/workload.ts
+++ b/soak/workload.ts
@@ -163,7 +163,7 @@
         const { id, outcome, rows } = await send(connection, workspace, `READ ${item}`, true)
         recordOutcome(outcome, null)
         const group = options.groupOf(id)
-        if (outcome === 'done' && group !== undefined) checkRead(item, rows[0], acknowledged.get(group.service), group.term(), count)
+        if (outcome === 'done') checkRead(item, rows[0], group === undefined ? undefined : acknowledged.get(group.service), group?.term() ?? 0, count)
       }
     }
     connection.close()
